--- /dev/null
+++ b/bench/standins/delayed_answers.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "process/clock.hpp"
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace mangolink::bench
+{
+
+/// Runs actions at given times on one thread.
+class delayed_answers final
+{
+public:
+    delayed_answers();
+
+    /// Drops what is not due yet.
+    ~delayed_answers();
+
+    void at(boot_clock::time_point when, std::function<void()> action);
+
+private:
+    void run();
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::multimap<boot_clock::time_point, std::function<void()>> actions_;
+    bool stopping_ = false;
+    std::thread thread_;
+};
+
+} // namespace mangolink::bench
--- /dev/null
+++ b/bench/standins/engine_model.cpp
@@ -0,0 +1,109 @@
+#include "standins/engine_model.hpp"
+
+#include "process/hash.hpp"
+
+#include <algorithm>
+
+namespace mangolink::bench
+{
+namespace
+{
+
+constexpr std::size_t chars_per_token = 4;
+constexpr std::size_t block_tokens = 16;
+
+} // namespace
+
+engine_model::engine_model(engine_model_settings settings) : settings_(settings)
+{
+}
+
+void engine_model::add(engine_sequence sequence)
+{
+    const auto after = std::find_if(waiting_.begin(), waiting_.end(),
+                                    [&](const engine_sequence& row) {
+                                        return row.priority > sequence.priority;
+                                    });
+    waiting_.insert(after, std::move(sequence));
+}
+
+void engine_model::cancel(std::uint64_t id)
+{
+    std::erase_if(waiting_,
+                  [id](const engine_sequence& row) { return row.id == id; });
+    std::erase_if(running_,
+                  [id](const active& row) { return row.sequence.id == id; });
+}
+
+engine_step engine_model::step()
+{
+    engine_step result;
+    result.length = admit_waiting();
+    result.length +=
+        settings_.step_base + settings_.step_per_sequence *
+                                  static_cast<std::int64_t>(running_.size());
+    for (auto& row : running_)
+    {
+        const bool last = row.produced + 1 >= row.sequence.max_tokens;
+        result.tokens.push_back({row.sequence.id, row.produced, last,
+                                 row.prompt_tokens, row.cached_tokens});
+        ++row.produced;
+    }
+    std::erase_if(running_, [](const active& row)
+                  { return row.produced >= row.sequence.max_tokens; });
+    return result;
+}
+
+microseconds engine_model::admit_waiting()
+{
+    microseconds spent{0};
+    while (!waiting_.empty() && running_.size() < settings_.max_batch)
+    {
+        active row;
+        row.sequence = std::move(waiting_.front());
+        waiting_.erase(waiting_.begin());
+        spent += prefill(row);
+        running_.push_back(std::move(row));
+    }
+    return spent;
+}
+
+microseconds engine_model::prefill(active& row)
+{
+    const std::string& prompt = row.sequence.prompt;
+    const std::size_t block_chars = block_tokens * chars_per_token;
+    row.prompt_tokens =
+        static_cast<std::uint32_t>(prompt.size() / chars_per_token + 1);
+    std::uint64_t prefix = 0;
+    bool prefix_known = true;
+    for (std::size_t at = 0; at + block_chars <= prompt.size();
+         at += block_chars)
+    {
+        prefix = stable_hash({prompt.data() + at, block_chars}, prefix);
+        const bool known = touch_block(prefix);
+        prefix_known = prefix_known && known;
+        row.cached_tokens += prefix_known ? block_tokens : 0;
+    }
+    return settings_.prefill_per_token *
+           static_cast<std::int64_t>(row.prompt_tokens - row.cached_tokens);
+}
+
+bool engine_model::touch_block(std::uint64_t block)
+{
+    const auto found = cache_.find(block);
+    const bool known = found != cache_.end();
+    if (known)
+    {
+        cache_order_.erase(found->second);
+    }
+    cache_order_.push_back(block);
+    cache_[block] = std::prev(cache_order_.end());
+    if (cache_order_.size() > settings_.cache_blocks)
+    {
+        cache_.erase(cache_order_.front());
+        cache_order_.pop_front();
+    }
+    return known;
+}
+
+} // namespace mangolink::bench
--- /dev/null
+++ b/bench/standins/engine_model.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "process/clock.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <string>
+#include <vector>
+
+namespace mangolink::bench
+{
+
+/// Times of a model engine that batches continuously.
+struct engine_model_settings final
+{
+    microseconds step_base{8000};        ///< of one decode step
+    microseconds step_per_sequence{100}; ///< more for each running sequence
+    microseconds prefill_per_token{30};
+    std::uint32_t max_batch = 32;
+    std::size_t cache_blocks = 4096; ///< prompt blocks kept
+};
+
+/// One sequence of tokens to generate.
+struct engine_sequence final
+{
+    std::uint64_t id = 0;
+    std::string prompt;
+    std::uint32_t max_tokens = 0;
+    std::uint32_t priority = 0; ///< 0 is the most urgent
+};
+
+/// What a sequence got in one step.
+struct engine_token final
+{
+    std::uint64_t id = 0;
+    std::uint32_t index = 0; ///< 0 for the first token
+    bool last = false;
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t cached_tokens = 0;
+};
+
+/// Result of one step.
+struct engine_step final
+{
+    microseconds length{0};
+    std::vector<engine_token> tokens;
+};
+
+/// Continuous batching with a prompt-prefix cache, without threads or time.
+class engine_model final
+{
+public:
+    explicit engine_model(engine_model_settings settings);
+
+    void add(engine_sequence sequence);
+    void cancel(std::uint64_t id);
+    bool idle() const { return waiting_.empty() && running_.empty(); }
+    std::size_t running() const { return running_.size(); }
+    std::size_t waiting() const { return waiting_.size(); }
+
+    /// Admits waiting sequences, prefills them and decodes one token each.
+    engine_step step();
+
+private:
+    struct active final
+    {
+        engine_sequence sequence;
+        std::uint32_t produced = 0;
+        std::uint32_t prompt_tokens = 0;
+        std::uint32_t cached_tokens = 0;
+    };
+
+    microseconds admit_waiting();
+    microseconds prefill(active& row);
+    bool touch_block(std::uint64_t block);
+
+    engine_model_settings settings_;
+    std::vector<engine_sequence> waiting_;
+    std::vector<active> running_;
+    std::list<std::uint64_t> cache_order_; ///< least recently used first
+    absl::flat_hash_map<std::uint64_t, std::list<std::uint64_t>::iterator>
+        cache_;
+};
+
+} // namespace mangolink::bench
--- /dev/null
+++ b/bench/standins/engine_server.cpp
@@ -0,0 +1,162 @@
+#include "standins/engine_server.hpp"
+
+#include "connection/http_exchange.hpp"
+#include "standins/execution_record.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace mangolink::bench
+{
+namespace
+{
+
+using nlohmann::json;
+
+std::string token_line(const engine_token& token)
+{
+    std::string line = "data: {\"choices\":[{\"index\":0,\"text\":\"w" +
+                       std::to_string(token.index) + " \"}]";
+    if (token.last)
+    {
+        line += ",\"usage\":{\"prompt_tokens\":" +
+                std::to_string(token.prompt_tokens) +
+                ",\"cached_tokens\":" + std::to_string(token.cached_tokens) +
+                ",\"completion_tokens\":" + std::to_string(token.index + 1) +
+                "}";
+    }
+    line += "}\n\n";
+    return token.last ? line + "data: [DONE]\n\n" : line;
+}
+
+} // namespace
+
+engine_server::engine_server(engine_server_settings settings,
+                             execution_record& record)
+    : settings_(std::move(settings)), record_(record), model_(settings_.model),
+      thread_([this] { run(); }),
+      server_({.address = settings_.listen, .max_connections = 4000},
+              [this](const std::shared_ptr<http_exchange>& exchange)
+              { on_request(exchange); })
+{
+}
+
+engine_server::~engine_server()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+    }
+    changed_.notify_all();
+    thread_.join();
+}
+
+void engine_server::on_request(const std::shared_ptr<http_exchange>& exchange)
+{
+    const http_request& request = exchange->request();
+    if (request.path == "/control/executions")
+    {
+        exchange->respond({200, {}, record_.text()});
+    }
+    else if (request.path == "/control/behaviour")
+    {
+        const json parsed = json::parse(request.body, nullptr, false);
+        slow_ = parsed.is_object() ? parsed.value("slow", 1.0) : 1.0;
+        exchange->respond({200, {}, "{}"});
+    }
+    else if (request.path == "/v1/completions")
+    {
+        start(exchange);
+    }
+    else
+    {
+        exchange->respond({404, {}, "{}"});
+    }
+}
+
+void engine_server::start(const std::shared_ptr<http_exchange>& exchange)
+{
+    const http_request& request = exchange->request();
+    const json body = json::parse(request.body, nullptr, false);
+    if (!body.is_object() || !body.contains("prompt"))
+    {
+        exchange->respond({400, {}, "{}"});
+        return;
+    }
+    record_.add({settings_.name,
+                 std::string(request.header("Mangolink-Request-Id")),
+                 std::string(request.header("Idempotency-Key")), request.path});
+    const std::lock_guard lock(mutex_);
+    const std::uint64_t id = next_id_++;
+    streams_[id] = {exchange, false};
+    model_.add({id, body.value("prompt", ""), body.value("max_tokens", 16U),
+                body.value("priority", 5U)});
+    exchange->when_caller_gone(
+        [this, id]
+        {
+            const std::lock_guard inner(mutex_);
+            model_.cancel(id);
+            streams_.erase(id);
+        });
+    changed_.notify_all();
+}
+
+void engine_server::run()
+{
+    auto due = boot_clock::now();
+    std::unique_lock lock(mutex_);
+    while (!stopping_)
+    {
+        if (model_.idle())
+        {
+            changed_.wait(lock);
+            due = boot_clock::now();
+            continue;
+        }
+        const engine_step step = model_.step();
+        due += std::chrono::duration_cast<boot_clock::duration>(step.length *
+                                                                slow_.load());
+        const auto left = due - boot_clock::now();
+        lock.unlock();
+        if (left > boot_clock::duration(0))
+        {
+            std::this_thread::sleep_for(left);
+        }
+        else
+        {
+            due = boot_clock::now();
+        }
+        lock.lock();
+        for (const auto& token : step.tokens)
+        {
+            emit(token);
+        }
+    }
+}
+
+void engine_server::emit(const engine_token& token)
+{
+    const auto found = streams_.find(token.id);
+    if (found == streams_.end())
+    {
+        return;
+    }
+    stream& row = found->second;
+    const std::string line = token_line(token);
+    if (row.begun)
+    {
+        row.exchange->write(line);
+    }
+    else
+    {
+        row.begun = true;
+        row.exchange->begin_stream(
+            {200, {{"Content-Type", "text/event-stream"}}, line});
+    }
+    if (token.last)
+    {
+        row.exchange->finish();
+        streams_.erase(found);
+    }
+}
+
+} // namespace mangolink::bench
--- /dev/null
+++ b/bench/standins/engine_server.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "connection/http_server.hpp"
+#include "standins/engine_model.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace mangolink
+{
+class http_exchange;
+}
+
+namespace mangolink::bench
+{
+
+class execution_record;
+
+/// Where a stand-in engine listens and how fast it is.
+struct engine_server_settings final
+{
+    std::string name;
+    std::string listen;
+    engine_model_settings model;
+};
+
+/// Stand-in for a model engine: POST /v1/completions, streamed.
+///
+/// GET /control/executions shows the record, POST /control/behaviour takes
+/// {"slow": factor}.
+class engine_server final
+{
+public:
+    engine_server(engine_server_settings settings, execution_record& record);
+    ~engine_server();
+
+private:
+    struct stream final
+    {
+        std::shared_ptr<http_exchange> exchange;
+        bool begun = false;
+    };
+
+    void on_request(const std::shared_ptr<http_exchange>& exchange);
+    void start(const std::shared_ptr<http_exchange>& exchange);
+    void run();
+    void emit(const engine_token& token);
+
+    engine_server_settings settings_;
+    execution_record& record_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    engine_model model_;
+    absl::flat_hash_map<std::uint64_t, stream> streams_;
+    std::uint64_t next_id_ = 1;
+    bool stopping_ = false;
+    std::atomic<double> slow_{1};
+    std::thread thread_;
+    http_server server_;
+};
+
+} // namespace mangolink::bench
--- /dev/null
+++ b/bench/standins/platform_server.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "connection/http_server.hpp"
+#include "process/clock.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace mangolink
+{
+class http_exchange;
+}
+
+namespace mangolink::bench
+{
+
+class delayed_answers;
+
+/// Where the stand-in listens and what it publishes first.
+struct platform_server_settings final
+{
+    std::string listen;
+    nlohmann::json first_value; ///< configuration number 1
+    nlohmann::json instances;   ///< rows of the instance list
+};
+
+/// Stand-in for the configuration service and the instance list.
+///
+/// GET /v1/configuration/changes?after=N&wait_ms=W answers with the documents
+/// after N, waiting for one. GET /v1/instances shows the list. Control: POST
+/// /control/publish (a patch document), POST /control/mode {"down": bool,
+/// "stale": bool}, POST /control/instances (rows), GET /control/reads.
+class platform_server final
+{
+public:
+    platform_server(platform_server_settings settings, delayed_answers& timer);
+    ~platform_server();
+
+private:
+    using exchange_pointer = std::shared_ptr<http_exchange>;
+
+    struct watcher final
+    {
+        exchange_pointer exchange;
+        std::uint64_t after = 0;
+    };
+
+    void on_request(const exchange_pointer& exchange);
+    void on_changes(const exchange_pointer& exchange);
+    void on_control(const exchange_pointer& exchange);
+    void publish(const nlohmann::json& document);
+    std::string changes_after(std::uint64_t number) const;
+    void answer_watchers();
+
+    platform_server_settings settings_;
+    delayed_answers& timer_;
+    std::mutex mutex_;
+    nlohmann::json value_;
+    std::uint64_t number_ = 1;
+    std::map<std::uint64_t, nlohmann::json> documents_;
+    std::map<std::uint64_t, watcher> watchers_;
+    std::uint64_t next_watcher_ = 1;
+    std::uint64_t reads_ = 0;
+    bool down_ = false;
+    bool stale_ = false; ///< keeps showing the first value
+    http_server server_;
+};
+
+} // namespace mangolink::bench
--- /dev/null
+++ b/bench/standins/weight_store.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "connection/http_server.hpp"
+#include "process/clock.hpp"
+
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace mangolink
+{
+class http_exchange;
+}
+
+namespace mangolink::bench
+{
+
+/// Stand-in for the weight store: GET /v1/weights/NAME, at most `rate` a
+/// second; more are answered 429.
+class weight_store final
+{
+public:
+    weight_store(const std::string& listen, double rate);
+
+private:
+    void on_request(const std::shared_ptr<http_exchange>& exchange);
+
+    double rate_;
+    std::mutex mutex_;
+    double tokens_ = 1;
+    boot_clock::time_point filled_ = boot_clock::now();
+    http_server server_;
+};
+
+} // namespace mangolink::bench
--- /dev/null
+++ b/src/connection/admin_answers.cpp
@@ -0,0 +1,93 @@
+#include "connection/admin_answers.hpp"
+
+#include "process/audit_trail.hpp"
+#include "version/configuration_store.hpp"
+
+#include <absl/strings/str_format.h>
+#include <nlohmann/json.hpp>
+
+#include <ctime>
+
+namespace mangolink
+{
+namespace
+{
+
+using nlohmann::json;
+
+std::string utc_text(std::chrono::system_clock::time_point time)
+{
+    const std::time_t whole = std::chrono::system_clock::to_time_t(time);
+    std::tm parts{};
+    gmtime_r(&whole, &parts);
+    char buffer[32];
+    const std::size_t size =
+        std::strftime(buffer, sizeof buffer, "%Y-%m-%dT%H:%M:%SZ", &parts);
+    return {buffer, size};
+}
+
+json position_json(const configuration_position& position)
+{
+    return {{"number", position.number},
+            {"digest", absl::StrFormat("%016x", position.digest)}};
+}
+
+} // namespace
+
+http_answer json_answer(const json& body)
+{
+    return {200, {{"Content-Type", "application/json"}}, body.dump()};
+}
+
+http_answer code_answer(result_code code, const std::string& detail)
+{
+    const result_info& info = describe(code);
+    const json body{{"code", static_cast<unsigned>(code)},
+                    {"name", info.name},
+                    {"detail", info.meaning},
+                    {"value", detail}};
+    return {info.http_status,
+            {{"Content-Type", "application/json"}},
+            body.dump(-1, ' ', false, json::error_handler_t::replace)};
+}
+
+http_answer text_answer(std::string body)
+{
+    return {
+        200, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(body)};
+}
+
+http_answer audit_answer(const audit_trail& trail)
+{
+    json rows = json::array();
+    for (const auto& record : trail.records())
+    {
+        rows.push_back({{"time", utc_text(record.time)},
+                        {"action", record.event.action},
+                        {"position", position_json(record.event.position)},
+                        {"author", record.event.author},
+                        {"detail", record.event.detail}});
+    }
+    return json_answer({{"records", rows}});
+}
+
+http_answer configuration_answer(const configuration_store& store)
+{
+    json body = json::parse(store.whole_document());
+    body["position"] = position_json(store.position());
+    return json_answer(body);
+}
+
+http_answer check_patch_answer(const configuration_store& store,
+                               const std::string& document)
+{
+    const fold_result result = store.check_patch(document);
+    if (result.code != result_code::complete)
+    {
+        return code_answer(result.code, result.reason);
+    }
+    return json_answer({{"code", static_cast<unsigned>(result.code)},
+                        {"publish", json::parse(document)}});
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/agent_server.cpp
@@ -0,0 +1,217 @@
+#include "connection/agent_server.hpp"
+
+#include "connection/admin_answers.hpp"
+#include "connection/http_exchange.hpp"
+#include "connection/platform_reader.hpp"
+#include "process/log.hpp"
+#include "wire/mangolink.pb.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace mangolink
+{
+namespace
+{
+
+constexpr milliseconds longest_wait{500};
+constexpr int messages_per_turn = 512;
+
+agent_time time_now()
+{
+    return {boot_clock::now(), std::chrono::system_clock::now()};
+}
+
+} // namespace
+
+agent_server::agent_server(agent_settings settings)
+    : settings_(std::move(settings)),
+      calls_started_(metrics_.counter("mangolink_backend_calls_started_total")),
+      calls_ended_(metrics_.counter("mangolink_backend_calls_ended_total")),
+      store_(trail_), core_(settings_.core, own_, store_, *this),
+      router_({.route = own_.text()}),
+      backend_({.base_url = "http://" + settings_.backend_address,
+                .max_connections = static_cast<long>(settings_.core.limit)},
+               {[this](call_id id, std::string text, std::uint32_t tokens) {
+                    core_.on_call_data(id, std::move(text), tokens,
+                                       boot_clock::now());
+                },
+                [this](call_id id, backend_answer answer)
+                {
+                    calls_ended_.add();
+                    core_.on_call_ended(id, std::move(answer), time_now());
+                }})
+{
+    metrics_.gauge("mangolink_calls_running",
+                   [this] { return static_cast<double>(running_); });
+    metrics_.gauge("mangolink_calls_queued",
+                   [this] { return static_cast<double>(queued_); });
+    router_.bind(settings_.listen);
+    thread_ = std::thread([this] { run_loop(); });
+    start_platform_reader();
+    admin_ = std::make_unique<admin_server>(settings_.instance.admin_address,
+                                            settings_.instance.admin_key,
+                                            admin_routes());
+    log_notice("agent", "Agent started.",
+               {{"listen", settings_.listen},
+                {"server", settings_.core.server},
+                {"incarnation", own_.text()}});
+}
+
+agent_server::~agent_server()
+{
+    admin_.reset();
+    platform_.reset();
+    stopping_ = true;
+    commands_.push([] {});
+    thread_.join();
+    log_notice("agent", "Agent stopped.");
+}
+
+void agent_server::begin_drain()
+{
+    if (!draining_.exchange(true))
+    {
+        commands_.push([this] { core_.begin_leaving(); });
+    }
+}
+
+void agent_server::send(const std::string& route, wire::envelope& message)
+{
+    buffer_.clear();
+    message.AppendToString(&buffer_);
+    if (!router_.send(route, buffer_))
+    {
+        log_detail("agent", "Entry is gone.", {{"route", route}});
+    }
+}
+
+void agent_server::start_call(backend_call call)
+{
+    calls_started_.add();
+    backend_.start(call);
+}
+
+void agent_server::cancel_call(call_id id)
+{
+    backend_.cancel(id);
+}
+
+void agent_server::run_loop()
+{
+    while (!stopping_)
+    {
+        // The router's descriptor signals changes only, so nothing may be
+        // left unread before the wait.
+        const bool busy = receive_all();
+        core_.on_time(time_now());
+        publish_state();
+        backend_.wait(router_.descriptor(), commands_.descriptor(),
+                      busy || router_.readable() ? milliseconds(0)
+                                                 : longest_wait);
+        commands_.run_all();
+    }
+}
+
+bool agent_server::receive_all()
+{
+    wire::envelope message;
+    for (int i = 0; i < messages_per_turn; ++i)
+    {
+        const auto received = router_.receive();
+        if (!received)
+        {
+            return i > 0;
+        }
+        if (message.ParseFromString(received->bytes))
+        {
+            core_.on_message(received->route, message, time_now());
+        }
+    }
+    return true;
+}
+
+void agent_server::publish_state()
+{
+    running_ = core_.running();
+    queued_ = core_.queued();
+    drained_ = core_.state() == agent_state::leaving && core_.drained();
+}
+
+std::vector<admin_route> agent_server::admin_routes()
+{
+    using exchange_pointer = std::shared_ptr<http_exchange>;
+    return {
+        {"GET", "/v1/status",
+         [this](const exchange_pointer& exchange)
+         { on_core(exchange, [this] { return status_answer(); }); }},
+        {"GET", "/v1/configuration",
+         [this](const exchange_pointer& exchange) {
+             on_core(exchange, [this] { return configuration_answer(store_); });
+         }},
+        {"GET", "/v1/audit",
+         [this](const exchange_pointer& exchange)
+         { exchange->respond(audit_answer(trail_)); }},
+        {"POST", "/v1/drain",
+         [this](const exchange_pointer& exchange)
+         {
+             trail_.record({"drain", store_.position(), "", "by the API"});
+             begin_drain();
+             exchange->respond(json_answer({{"draining", true}}));
+         }},
+        {"GET", "/metrics",
+         [this](const exchange_pointer& exchange)
+         { exchange->respond(text_answer(metrics_.page())); }},
+    };
+}
+
+void agent_server::on_core(const std::shared_ptr<http_exchange>& exchange,
+                           std::function<http_answer()> make)
+{
+    commands_.push([exchange, make = std::move(make)]
+                   { exchange->respond(make()); });
+}
+
+http_answer agent_server::status_answer()
+{
+    const auto position = store_.position();
+    return json_answer({{"role", "agent"},
+                        {"instance", settings_.instance.name},
+                        {"server", settings_.core.server},
+                        {"zone", settings_.instance.zone},
+                        {"region", settings_.instance.region},
+                        {"incarnation", own_.text()},
+                        {"configuration_number", position.number},
+                        {"configuration_digest", position.digest},
+                        {"running", core_.running()},
+                        {"queued", core_.queued()},
+                        {"limit", settings_.core.limit},
+                        {"draining", draining_.load()}});
+}
+
+void agent_server::start_platform_reader()
+{
+    platform_reader_settings settings;
+    settings.configuration_service = settings_.instance.configuration_service;
+    settings.instance_list = settings_.instance.instance_list;
+    settings.schedule.instance = settings_.instance.name;
+    settings.schedule.zone = settings_.instance.zone;
+    platform_reader_events events = document_events(
+        commands_, store_, [this] { core_.announce_configuration(); });
+    events.instances = [this](const std::vector<instance_row>& rows)
+    {
+        const bool leaving = std::any_of(
+            rows.begin(), rows.end(),
+            [this](const instance_row& row)
+            { return row.leaving && row.name == settings_.instance.name; });
+        if (leaving)
+        {
+            begin_drain();
+        }
+    };
+    platform_ = std::make_unique<platform_reader>(std::move(settings),
+                                                  std::move(events));
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/agent_server.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "connection/admin_server.hpp"
+#include "connection/backend_client.hpp"
+#include "connection/command_queue.hpp"
+#include "connection/peer_router.hpp"
+#include "process/agent_actions.hpp"
+#include "process/agent_core.hpp"
+#include "process/agent_settings.hpp"
+#include "process/audit_trail.hpp"
+#include "process/metrics.hpp"
+#include "version/configuration_store.hpp"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace mangolink
+{
+
+class http_exchange;
+class platform_reader;
+struct http_answer;
+
+/// Drives an agent_core: entries over ZeroMQ, the backend server over HTTP,
+/// one thread for all decisions.
+class agent_server final : private agent_actions
+{
+public:
+    /// Starts to serve at once.
+    explicit agent_server(agent_settings settings);
+    ~agent_server() override;
+
+    agent_server(const agent_server&) = delete;
+    agent_server& operator=(const agent_server&) = delete;
+
+    /// Refuses new work from now on. Any thread.
+    void begin_drain();
+
+    /// Returns whether draining was asked for, also by the administration API
+    /// or the instance list.
+    bool draining() const { return draining_; }
+
+    /// Returns whether a draining agent has finished what it had.
+    bool drained() const { return drained_; }
+
+private:
+    void send(const std::string& route, wire::envelope& message) override;
+    void start_call(backend_call call) override;
+    void cancel_call(call_id id) override;
+
+    void run_loop();
+    bool receive_all();
+    void publish_state();
+
+    std::vector<admin_route> admin_routes();
+    void on_core(const std::shared_ptr<http_exchange>& exchange,
+                 std::function<http_answer()> make);
+    http_answer status_answer();
+    void start_platform_reader();
+
+    agent_settings settings_;
+    incarnation own_ = incarnation::random();
+    audit_trail trail_;
+    metrics_registry metrics_;
+    event_counter& calls_started_;
+    event_counter& calls_ended_;
+    configuration_store store_;
+    agent_core core_;
+    peer_router router_;
+    backend_client backend_;
+    command_queue commands_;
+    std::string buffer_; ///< for serialized messages
+    std::atomic<bool> draining_{false};
+    std::atomic<bool> drained_{false};
+    std::atomic<bool> stopping_{false};
+    std::atomic<std::size_t> running_{0};
+    std::atomic<std::size_t> queued_{0};
+    std::thread thread_;
+    std::unique_ptr<platform_reader> platform_;
+    std::unique_ptr<admin_server> admin_;
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/backend_client.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "process/clock.hpp"
+#include "request/backend_call.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace mangolink
+{
+
+/// Where the backend server is.
+struct backend_client_settings final
+{
+    std::string base_url; ///< such as "http://127.0.0.1:9000"
+    long max_connections = 256;
+    milliseconds connect_limit{1000};
+    std::size_t max_answer = 2 * 1024 * 1024; ///< bytes
+};
+
+/// What the client reports while it waits.
+struct backend_client_events final
+{
+    /// Text of a streamed answer and the number of its tokens.
+    std::function<void(call_id, std::string, std::uint32_t)> data;
+
+    /// The end of a call; its last event.
+    std::function<void(call_id, backend_answer)> ended;
+};
+
+/// Makes HTTP calls to one backend server. Belongs to one thread.
+///
+/// A call marked non-idempotent uses a connection of its own that is never
+/// reused, because libcurl repeats a request by itself when a reused
+/// connection closes before the first byte of the answer.
+class backend_client final
+{
+public:
+    backend_client(backend_client_settings settings,
+                   backend_client_events events);
+    ~backend_client();
+
+    backend_client(const backend_client&) = delete;
+    backend_client& operator=(const backend_client&) = delete;
+
+    /// Starts a call. Its events come from wait().
+    void start(const backend_call& call);
+
+    /// Stops a call; no event of it follows.
+    void cancel(call_id id);
+
+    /// Waits until a call moves on, one of the descriptors is readable or the
+    /// time is over, and reports what happened.
+    void wait(int first_descriptor, int second_descriptor, milliseconds limit);
+
+private:
+    class transfer;
+
+    void report_ended();
+
+    backend_client_settings settings_;
+    backend_client_events events_;
+    void* multi_;
+    absl::flat_hash_map<call_id, std::unique_ptr<transfer>> transfers_;
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/caller_api.cpp
@@ -0,0 +1,326 @@
+#include "connection/caller_api.hpp"
+
+#include "request/stage_codec.hpp"
+#include "version/configuration.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <charconv>
+
+namespace mangolink
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::string_view path_start = "/v1/pipelines/";
+constexpr std::string_view customer_header = "Mangolink-Customer";
+constexpr std::string_view deadline_header = "Mangolink-Deadline-Ms";
+constexpr std::string_view priority_header = "Mangolink-Priority";
+constexpr std::string_view key_header = "Idempotency-Key";
+constexpr std::uint32_t default_priority = 5;
+constexpr std::uint32_t lowest_priority = 9;
+
+constexpr std::array single_headers{customer_header, deadline_header,
+                                    priority_header, key_header,
+                                    std::string_view("Content-Length")};
+
+/// "/v1/pipelines/{name}/{action}" taken apart.
+struct target final
+{
+    std::string_view pipeline;
+    std::string_view action;
+};
+
+std::optional<target> target_of(std::string_view path)
+{
+    if (!path.starts_with(path_start))
+    {
+        return std::nullopt;
+    }
+    path.remove_prefix(path_start.size());
+    const auto slash = path.find('/');
+    if (slash == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    return target{path.substr(0, slash), path.substr(slash + 1)};
+}
+
+template <class T>
+std::optional<T> whole_number(std::string_view text)
+{
+    T value{};
+    const char* end = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), end, value);
+    if (text.empty() || read.ec != std::errc() || read.ptr != end)
+    {
+        return std::nullopt;
+    }
+    return value;
+}
+
+double to_ms(microseconds value)
+{
+    return static_cast<double>(value.count()) / 1000.0;
+}
+
+json stage_json(const stage_report& row)
+{
+    return {{"stage", row.stage},
+            {"server", row.server},
+            {"zone", row.zone},
+            {"attempts", row.attempts},
+            {"elapsed_ms", to_ms(row.elapsed)},
+            {"queued_ms", to_ms(row.queued)},
+            {"service_ms", to_ms(row.service)},
+            {"prompt_tokens", row.prompt_tokens},
+            {"cached_tokens", row.cached_tokens},
+            {"generated_tokens", row.generated_tokens},
+            {"cross_region_bytes", row.cross_region_bytes}};
+}
+
+json cost_json(const run_result& result)
+{
+    microseconds service{0};
+    std::uint64_t recomputed = 0;
+    std::uint64_t crossed = 0;
+    for (const auto& row : result.stages)
+    {
+        service += row.service;
+        recomputed +=
+            row.prompt_tokens - std::min(row.prompt_tokens, row.cached_tokens);
+        crossed += row.cross_region_bytes;
+    }
+    return {{"service_ms", to_ms(service)},
+            {"recomputed_prompt_tokens", recomputed},
+            {"cross_region_bytes", crossed}};
+}
+
+json result_json(const request_id& id, const run_result& result)
+{
+    const result_info& info = describe(result.code);
+    json body{{"request_id", id.text()},
+              {"code", static_cast<unsigned>(result.code)},
+              {"name", info.name},
+              {"outcome", outcome_name(result.end)},
+              {"cost", cost_json(result)}};
+    body["stages"] = json::array();
+    for (const auto& row : result.stages)
+    {
+        body["stages"].push_back(stage_json(row));
+    }
+    if (result.end != outcome::complete)
+    {
+        body["detail"] = info.meaning;
+    }
+    if (result.repeated)
+    {
+        body["repeated"] = true;
+    }
+    return body;
+}
+
+std::string dump(const json& value)
+{
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::vector<http_header> result_headers(const request_id& id, result_code code,
+                                        outcome end, microseconds retry_after)
+{
+    std::vector<http_header> headers{
+        {"Content-Type", "application/json"},
+        {"Mangolink-Request-Id", id.text()},
+        {"Mangolink-Code", std::to_string(static_cast<unsigned>(code))},
+        {"Mangolink-Outcome", std::string(outcome_name(end))}};
+    if (retry_after > microseconds(0))
+    {
+        const auto whole = std::chrono::ceil<std::chrono::seconds>(retry_after);
+        headers.push_back({"Retry-After", std::to_string(whole.count())});
+    }
+    return headers;
+}
+
+} // namespace
+
+caller_api::caller_api(caller_api_settings settings) : settings_(settings)
+{
+}
+
+caller_api::parsed
+caller_api::parse(const http_request& request,
+                  std::shared_ptr<const configuration> version,
+                  const request_id& id, boot_clock::time_point now) const
+{
+    const auto where = target_of(request.path);
+    if (!where || (where->action != "requests" && where->action != "keys"))
+    {
+        return caller_error{result_code::not_found, request.path};
+    }
+    if (request.method != "POST")
+    {
+        return caller_error{result_code::method_not_allowed, request.method};
+    }
+    if (!version)
+    {
+        return caller_error{result_code::not_ready, {}};
+    }
+    for (const auto& name : single_headers)
+    {
+        if (request.count(name) > 1)
+        {
+            return caller_error{result_code::bad_header,
+                                std::string(name) + " is repeated"};
+        }
+    }
+    const pipeline* what = version->find_pipeline(where->pipeline);
+    if (what == nullptr)
+    {
+        return caller_error{result_code::unknown_pipeline,
+                            std::string(where->pipeline)};
+    }
+    const auto customer_name = request.header(customer_header);
+    if (version->find_customer(customer_name) == nullptr)
+    {
+        return caller_error{result_code::unknown_customer,
+                            std::string(customer_name)};
+    }
+    if (!what->allows(customer_name))
+    {
+        return caller_error{result_code::customer_not_allowed,
+                            std::string(customer_name)};
+    }
+    if (where->action == "keys")
+    {
+        return key_request{std::move(version), what};
+    }
+    return parse_run(request, *what, std::move(version), id, now);
+}
+
+http_answer caller_api::error_answer(const request_id& id,
+                                     const caller_error& error)
+{
+    const result_info& info = describe(error.code);
+    json body{{"request_id", id.text()},
+              {"code", static_cast<unsigned>(error.code)},
+              {"name", info.name},
+              {"outcome", outcome_name(outcome::not_run)},
+              {"detail", info.meaning}};
+    if (!error.detail.empty())
+    {
+        body["value"] = error.detail;
+    }
+    return {info.http_status,
+            result_headers(id, error.code, outcome::not_run, microseconds(0)),
+            dump(body)};
+}
+
+http_answer caller_api::result_answer(const request_id& id,
+                                      const run_result& result)
+{
+    json body = result_json(id, result);
+    if (result.end == outcome::complete)
+    {
+        json answer = json::parse(result.answer, nullptr, false);
+        body["answer"] = answer.is_discarded() || !answer.is_structured()
+                             ? json(result.answer)
+                             : std::move(answer);
+    }
+    return {describe(result.code).http_status,
+            result_headers(id, result.code, result.end, result.retry_after),
+            dump(body)};
+}
+
+http_answer caller_api::stream_head(const request_id& id)
+{
+    return {200,
+            {{"Content-Type", "text/event-stream"},
+             {"Cache-Control", "no-store"},
+             {"Mangolink-Request-Id", id.text()}},
+            {}};
+}
+
+std::string caller_api::token_event(std::string_view text)
+{
+    return "event: token\ndata: {\"text\":" + dump(json(text)) + "}\n\n";
+}
+
+std::string caller_api::outcome_event(const request_id& id,
+                                      const run_result& result)
+{
+    return "event: outcome\ndata: " + dump(result_json(id, result)) + "\n\n";
+}
+
+caller_api::parsed
+caller_api::parse_run(const http_request& request, const pipeline& what,
+                      std::shared_ptr<const configuration> version,
+                      const request_id& id, boot_clock::time_point now) const
+{
+    const auto deadline = deadline_of(request, what);
+    if (!deadline)
+    {
+        return caller_error{result_code::bad_deadline,
+                            "1 to " +
+                                std::to_string(settings_.max_deadline.count())};
+    }
+    run_request run;
+    run.priority = default_priority;
+    if (request.count(priority_header) > 0)
+    {
+        const auto priority =
+            whole_number<std::uint32_t>(request.header(priority_header));
+        if (!priority || *priority > lowest_priority)
+        {
+            return caller_error{result_code::bad_header,
+                                "Mangolink-Priority must be 0 to 9"};
+        }
+        run.priority = *priority;
+    }
+    run.key_text = std::string(request.header(key_header));
+    if (!run.key_text.empty())
+    {
+        run.key = idempotency_key::parse(run.key_text);
+        if (!run.key)
+        {
+            return caller_error{result_code::key_invalid,
+                                "obtain one from POST " +
+                                    std::string(path_start) + what.name +
+                                    "/keys"};
+        }
+    }
+    auto context = read_caller_body(what.stages.front().kind, request.body);
+    if (!context)
+    {
+        return caller_error{result_code::bad_stage_input, {}};
+    }
+    run.id = id;
+    run.context = std::move(*context);
+    run.what = &what;
+    run.who = version->find_customer(request.header(customer_header));
+    run.version = std::move(version);
+    run.deadline = now + *deadline;
+    run.streamed = request.header("Accept") == "text/event-stream" &&
+                   codec_of(what.stages.back().kind).streamed;
+    return run;
+}
+
+std::optional<milliseconds> caller_api::deadline_of(const http_request& request,
+                                                    const pipeline& what) const
+{
+    if (request.count(deadline_header) == 0)
+    {
+        return what.default_deadline;
+    }
+    const auto value =
+        whole_number<std::int64_t>(request.header(deadline_header));
+    if (!value || *value < 1 || *value > settings_.max_deadline.count())
+    {
+        return std::nullopt;
+    }
+    return milliseconds(*value);
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/command_queue.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "connection/wakeup.hpp"
+
+#include <urcu/wfcqueue.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+
+namespace mangolink
+{
+
+/// Carries commands from any thread to one event loop. Pushing is wait-free.
+class command_queue final
+{
+public:
+    using command = std::function<void()>;
+
+    command_queue();
+
+    /// Drops the commands that were not run.
+    ~command_queue();
+
+    command_queue(const command_queue&) = delete;
+    command_queue& operator=(const command_queue&) = delete;
+
+    /// Adds a command and wakes the loop. Any thread.
+    void push(command action);
+
+    /// Runs all commands present, in order. The loop's thread only.
+    void run_all();
+
+    /// Returns what the loop must watch for reading.
+    int descriptor() const { return wakeup_.descriptor(); }
+
+private:
+    struct node final : cds_wfcq_node
+    {
+        command action;
+    };
+
+    std::unique_ptr<node> take();
+
+    cds_wfcq_head head_;
+    cds_wfcq_tail tail_;
+    std::atomic<bool> signalled_{false};
+    wakeup wakeup_;
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/entry_admin.cpp
@@ -0,0 +1,185 @@
+#include "connection/admin_answers.hpp"
+#include "connection/entry_server.hpp"
+#include "connection/http_exchange.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace mangolink
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr const char* state_names[] = {"starting", "ready", "leaving"};
+constexpr const char* distance_names[] = {"same_zone", "same_region",
+                                          "other_region"};
+
+json member_json(const member& row, const member_table& members,
+                 boot_clock::time_point now)
+{
+    const auto silence =
+        std::chrono::duration_cast<milliseconds>(now - row.last_heard);
+    return {
+        {"server", row.name},
+        {"agent", row.address},
+        {"zone", row.zone},
+        {"region", row.region},
+        {"distance", distance_names[static_cast<int>(row.where)]},
+        {"state", state_names[static_cast<int>(row.state)]},
+        {"usable", members.usable(row, now)},
+        {"incarnation", row.known_incarnation.text()},
+        {"heard_ms_ago", row.known_incarnation.known() ? silence.count() : -1},
+        {"running", row.load.running},
+        {"queued", row.load.queued},
+        {"limit", row.load.limit},
+        {"outstanding", row.outstanding}};
+}
+
+} // namespace
+
+std::vector<admin_route> entry_server::admin_routes()
+{
+    using exchange_pointer = std::shared_ptr<http_exchange>;
+    const auto on_core_route = [this](http_answer (entry_server::*make)())
+    {
+        return [this, make](const exchange_pointer& exchange)
+        { on_core(exchange, [this, make] { return (this->*make)(); }); };
+    };
+    return {
+        {"GET", "/v1/status", on_core_route(&entry_server::status_answer)},
+        {"GET", "/v1/members", on_core_route(&entry_server::members_answer)},
+        {"GET", "/v1/customers",
+         on_core_route(&entry_server::customers_answer)},
+        {"GET", "/v1/configuration",
+         [this](const exchange_pointer& exchange) {
+             on_core(exchange, [this] { return configuration_answer(store_); });
+         }},
+        {"GET", "/v1/audit",
+         [this](const exchange_pointer& exchange)
+         { exchange->respond(audit_answer(trail_)); }},
+        {"GET", "/v1/explain",
+         [this](const exchange_pointer& exchange)
+         {
+             on_core(exchange,
+                     [this, exchange]
+                     {
+                         return explain_answer(std::string(
+                             exchange->request().argument("pipeline")));
+                     });
+         }},
+        {"POST", "/v1/patches/check",
+         [this](const exchange_pointer& exchange)
+         {
+             on_core(exchange,
+                     [this, exchange] {
+                         return check_patch_answer(store_,
+                                                   exchange->request().body);
+                     });
+         }},
+        {"POST", "/v1/drain",
+         [this](const exchange_pointer& exchange)
+         {
+             trail_.record({"drain", store_.position(), "", "by the API"});
+             begin_drain();
+             exchange->respond(json_answer({{"draining", true}}));
+         }},
+        {"GET", "/metrics",
+         [this](const exchange_pointer& exchange)
+         { exchange->respond(text_answer(metrics_.page())); }},
+    };
+}
+
+void entry_server::on_core(const std::shared_ptr<http_exchange>& exchange,
+                           std::function<http_answer()> make)
+{
+    commands_.push([exchange, make = std::move(make)]
+                   { exchange->respond(make()); });
+}
+
+http_answer entry_server::status_answer()
+{
+    const auto position = store_.position();
+    std::size_t usable = 0;
+    const auto now = boot_clock::now();
+    const auto all = core_.members().all();
+    for (const member_id id : all)
+    {
+        usable +=
+            core_.members().usable(*core_.members().find(id), now) ? 1 : 0;
+    }
+    return json_answer({{"role", "entry"},
+                        {"instance", settings_.instance.name},
+                        {"zone", settings_.instance.zone},
+                        {"region", settings_.instance.region},
+                        {"incarnation", own_.text()},
+                        {"configuration_number", position.number},
+                        {"configuration_digest", position.digest},
+                        {"requests_in_flight", core_.requests()},
+                        {"members", all.size()},
+                        {"usable_members", usable},
+                        {"draining", draining_.load()}});
+}
+
+http_answer entry_server::members_answer()
+{
+    json rows = json::array();
+    const auto now = boot_clock::now();
+    for (const member_id id : core_.members().all())
+    {
+        rows.push_back(
+            member_json(*core_.members().find(id), core_.members(), now));
+    }
+    return json_answer({{"members", rows}});
+}
+
+http_answer entry_server::customers_answer()
+{
+    json rows = json::array();
+    if (const auto version = store_.current())
+    {
+        for (const auto& row : version->customers())
+        {
+            rows.push_back({{"customer", row.name},
+                            {"share", row.share},
+                            {"requests_per_second", row.requests_per_second},
+                            {"burst", row.burst}});
+        }
+    }
+    return json_answer({{"customers", rows}});
+}
+
+http_answer entry_server::explain_answer(const std::string& pipeline_name)
+{
+    const auto version = store_.current();
+    const pipeline* what =
+        version ? version->find_pipeline(pipeline_name) : nullptr;
+    if (what == nullptr)
+    {
+        return code_answer(result_code::unknown_pipeline, pipeline_name);
+    }
+    json stages = json::array();
+    const auto now = boot_clock::now();
+    for (const auto& stage : what->stages)
+    {
+        json candidates = json::array();
+        for (const auto& row : core_.selector().explain(stage.pool, now))
+        {
+            const member& candidate = *core_.members().find(row.id);
+            candidates.push_back(
+                {{"server", candidate.name},
+                 {"zone", candidate.zone},
+                 {"score_us", row.score.count()},
+                 {"expected_wait_us", row.wait.count()},
+                 {"service_time_us", candidate.load.service_time.count()}});
+        }
+        stages.push_back({{"stage", stage.name},
+                          {"pool", version->pools()[stage.pool].name},
+                          {"idempotent", stage.idempotent},
+                          {"policy", settings_.core.selector.policy},
+                          {"candidates", candidates}});
+    }
+    return json_answer({{"pipeline", pipeline_name}, {"stages", stages}});
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/entry_server.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "connection/admin_answers.hpp"
+#include "connection/admin_server.hpp"
+#include "connection/caller_api.hpp"
+#include "connection/command_queue.hpp"
+#include "connection/http_server.hpp"
+#include "connection/peer_router.hpp"
+#include "process/audit_trail.hpp"
+#include "process/entry_core.hpp"
+#include "process/entry_settings.hpp"
+#include "process/metrics.hpp"
+#include "version/configuration_store.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/random/random.h>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace mangolink
+{
+
+class http_exchange;
+class platform_reader;
+
+/// Drives an entry_core: callers over HTTP, agents over ZeroMQ, one thread
+/// for all decisions.
+class entry_server final : private entry_actions
+{
+public:
+    /// Starts to serve at once.
+    explicit entry_server(entry_settings settings);
+    ~entry_server() override;
+
+    entry_server(const entry_server&) = delete;
+    entry_server& operator=(const entry_server&) = delete;
+
+    /// Refuses new requests from now on. Any thread.
+    void begin_drain() { draining_ = true; }
+
+    /// Returns whether draining was asked for, also by the administration API.
+    bool draining() const { return draining_; }
+
+    /// Returns whether every request in flight has ended.
+    bool drained() const;
+
+private:
+    struct open_request final
+    {
+        std::shared_ptr<http_exchange> exchange;
+        std::string pipeline;
+        boot_clock::time_point received;
+        bool streamed = false;
+        bool stream_begun = false;
+        std::string held; ///< events kept back until the next flush
+    };
+
+    bool send(member_id to, wire::envelope& message) override;
+    void deliver(const request_id& id, std::string_view text) override;
+    void finish(const request_id& id, run_result result) override;
+    void connect(member_id id, const std::string& address) override;
+    void disconnect(member_id id, const std::string& address) override;
+
+    void on_request(const std::shared_ptr<http_exchange>& exchange);
+    void accept(const std::shared_ptr<http_exchange>& exchange,
+                run_request request, boot_clock::time_point received);
+    void issue_key(const std::shared_ptr<http_exchange>& exchange,
+                   const key_request& wanted);
+    void refuse(const std::shared_ptr<http_exchange>& exchange,
+                const request_id& id, const caller_error& error);
+    void count_end(const open_request& row, const run_result& result);
+
+    void run_loop();
+    void receive_all();
+    void flush_streams(boot_clock::time_point now);
+    void write_held(open_request& row);
+    milliseconds time_to_wait(boot_clock::time_point now) const;
+
+    std::vector<admin_route> admin_routes();
+    void on_core(const std::shared_ptr<http_exchange>& exchange,
+                 std::function<http_answer()> make);
+    http_answer status_answer();
+    http_answer members_answer();
+    http_answer customers_answer();
+    http_answer explain_answer(const std::string& pipeline_name);
+    void start_platform_reader();
+
+    entry_settings settings_;
+    incarnation own_ = incarnation::random();
+    audit_trail trail_;
+    metrics_registry metrics_;
+    duration_histogram& first_token_;
+    duration_histogram& refusal_time_;
+    configuration_store store_;
+    absl::BitGen random_; ///< of the core's thread
+    entry_core core_;
+    caller_api api_;
+    peer_router router_;
+    command_queue commands_;
+    absl::flat_hash_map<request_id, open_request> open_;
+    absl::flat_hash_map<std::uint32_t, std::string> routes_;
+    std::vector<request_id> held_; ///< requests with events kept back
+    boot_clock::time_point last_flush_;
+    std::string buffer_; ///< for serialized messages
+    std::atomic<std::size_t> in_flight_{0};
+    std::atomic<bool> draining_{false};
+    std::atomic<bool> stopping_{false};
+    std::thread thread_;
+    std::unique_ptr<platform_reader> platform_;
+    std::unique_ptr<http_server> callers_;
+    std::unique_ptr<admin_server> admin_;
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/http_client.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "connection/http_message.hpp"
+#include "process/clock.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace mangolink
+{
+
+/// One HTTP call to make.
+struct http_call final
+{
+    std::string method = "GET";
+    std::string url;
+    std::vector<http_header> headers{};
+    std::string body{};
+    milliseconds limit{5000};
+};
+
+/// What came back; status 0 when no answer came.
+struct http_result final
+{
+    std::uint32_t status = 0;
+    std::vector<http_header> headers;
+    std::string body;
+    std::string error; ///< why no answer came
+};
+
+/// Makes one call at a time and keeps the connection. Belongs to one thread.
+class http_client final
+{
+public:
+    http_client();
+    ~http_client();
+
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    /// Waits for the whole answer.
+    http_result call(const http_call& what);
+
+    /// Makes a call in progress on another thread end soon.
+    void abort() { aborted_ = true; }
+
+private:
+    static std::size_t take_body(char* bytes, std::size_t size,
+                                 std::size_t count, void* result);
+    static std::size_t take_header(char* bytes, std::size_t size,
+                                   std::size_t count, void* result);
+    static int check_abort(void* self, std::int64_t, std::int64_t, std::int64_t,
+                           std::int64_t);
+
+    void* easy_;
+    std::atomic<bool> aborted_{false};
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/http_exchange.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "connection/http_message.hpp"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+
+struct MHD_Connection;
+struct MHD_Response;
+
+namespace mangolink
+{
+
+/// One request and its answer, which any thread may give at any time.
+///
+/// Either respond() is called once, or begin_stream(), write() any number of
+/// times and finish(). After the caller has gone all of them do nothing.
+class http_exchange final : public std::enable_shared_from_this<http_exchange>
+{
+public:
+    using gone_function = std::function<void()>;
+
+    explicit http_exchange(MHD_Connection* connection);
+
+    const http_request& request() const { return request_; }
+
+    /// Gives the whole answer.
+    void respond(http_answer answer);
+
+    /// Starts an answer of unknown length; the body of `head` is its start.
+    void begin_stream(http_answer head);
+
+    /// Adds to the body of a stream.
+    void write(std::string_view bytes);
+
+    /// Ends the stream.
+    void finish();
+
+    /// Sets what is called, once, when the caller leaves before the end. It
+    /// is called on a thread of the server.
+    void when_caller_gone(gone_function action);
+
+private:
+    friend class http_server;
+
+    enum class phase
+    {
+        receiving,
+        waiting, ///< for an answer
+        answered,
+        closed
+    };
+
+    /// Queues the answer if there is one, else suspends the connection.
+    int queue_or_suspend();
+    int queue_answer();
+    void resume();
+    void close(bool completed);
+    std::ptrdiff_t read_stream(char* buffer, std::size_t most);
+    MHD_Response* make_response();
+
+    static std::ptrdiff_t read_callback(void* self, std::uint64_t position,
+                                        char* buffer, std::size_t most);
+    static void free_callback(void* self);
+
+    MHD_Connection* connection_;
+    http_request request_;
+    std::size_t received_ = 0;
+    bool too_large_ = false;
+
+    std::mutex mutex_;
+    phase phase_ = phase::receiving;
+    bool suspended_ = false;
+    bool streaming_ = false;
+    bool finished_ = false;
+    std::optional<http_answer> answer_;
+    std::string pending_; ///< stream bytes not yet taken by the server
+    gone_function gone_;
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/http_server.cpp
@@ -0,0 +1,171 @@
+#include "connection/http_server.hpp"
+
+#include "connection/http_exchange.hpp"
+#include "process/socket_address.hpp"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <unistd.h>
+
+#include <stdexcept>
+
+namespace mangolink
+{
+namespace
+{
+
+using exchange_pointer = std::shared_ptr<http_exchange>;
+
+MHD_Result collect(void* target, MHD_ValueKind, const char* name,
+                   const char* value)
+{
+    static_cast<std::vector<http_header>*>(target)->push_back(
+        {name, value == nullptr ? "" : value});
+    return MHD_YES;
+}
+
+sockaddr_in to_sockaddr(const std::string& text)
+{
+    const auto address = socket_address::parse(text);
+    if (!address)
+    {
+        throw std::runtime_error("not an address: " + text);
+    }
+    sockaddr_in result{};
+    result.sin_family = AF_INET;
+    result.sin_port = htons(address->port);
+    inet_pton(AF_INET, address->host.c_str(), &result.sin_addr);
+    return result;
+}
+
+} // namespace
+
+struct http_server::callbacks final
+{
+    static MHD_Result access(void* server, MHD_Connection* connection,
+                             const char* url, const char* method, const char*,
+                             const char* upload, std::size_t* upload_size,
+                             void** state)
+    {
+        auto& self = *static_cast<http_server*>(server);
+        if (*state == nullptr)
+        {
+            begin(connection, url, method, state);
+            ++self.active_;
+            return MHD_YES;
+        }
+        const exchange_pointer exchange =
+            *static_cast<exchange_pointer*>(*state);
+        if (*upload_size > 0)
+        {
+            receive(self, *exchange, {upload, *upload_size});
+            *upload_size = 0;
+            return MHD_YES;
+        }
+        if (exchange->phase_ == http_exchange::phase::receiving)
+        {
+            complete(self, exchange);
+        }
+        return static_cast<MHD_Result>(exchange->queue_or_suspend());
+    }
+
+    static void begin(MHD_Connection* connection, const char* url,
+                      const char* method, void** state)
+    {
+        auto exchange = std::make_shared<http_exchange>(connection);
+        http_request& request = exchange->request_;
+        request.method = method;
+        request.path = url;
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, &collect,
+                                  &request.headers);
+        MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collect,
+                                  &request.query);
+        *state = new exchange_pointer(std::move(exchange));
+    }
+
+    static void receive(const http_server& self, http_exchange& exchange,
+                        std::string_view bytes)
+    {
+        exchange.received_ += bytes.size();
+        if (exchange.received_ > self.settings_.max_body)
+        {
+            exchange.too_large_ = true;
+            exchange.request_.body.clear();
+            return;
+        }
+        exchange.request_.body += bytes;
+    }
+
+    static void complete(http_server& self, const exchange_pointer& exchange)
+    {
+        if (exchange->too_large_)
+        {
+            exchange->respond({413,
+                               {{"Content-Type", "application/json"},
+                                {"Connection", "close"}},
+                               "{\"code\":1105,\"name\":\"body_too_large\","
+                               "\"outcome\":\"not_run\"}"});
+            return;
+        }
+        self.on_request_(exchange);
+    }
+
+    static void completed(void* server, MHD_Connection*, void** state,
+                          MHD_RequestTerminationCode code)
+    {
+        if (*state == nullptr)
+        {
+            return;
+        }
+        auto* holder = static_cast<exchange_pointer*>(*state);
+        (*holder)->close(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+        delete holder;
+        *state = nullptr;
+        --static_cast<http_server*>(server)->active_;
+    }
+};
+
+http_server::http_server(http_server_settings settings, handler on_request)
+    : settings_(std::move(settings)), on_request_(std::move(on_request))
+{
+    sockaddr_in address = to_sockaddr(settings_.address);
+    const unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD |
+                           MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
+    daemon_ = MHD_start_daemon(
+        flags, 0, nullptr, nullptr, &callbacks::access, this,
+        MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED,
+        &callbacks::completed, this, MHD_OPTION_CONNECTION_LIMIT,
+        settings_.max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
+        static_cast<unsigned>(settings_.idle_limit.count()),
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, settings_.connection_memory,
+        MHD_OPTION_THREAD_POOL_SIZE,
+        settings_.threads > 1 ? settings_.threads : 0U, MHD_OPTION_END);
+    if (daemon_ == nullptr)
+    {
+        throw std::runtime_error("cannot listen on " + settings_.address);
+    }
+}
+
+http_server::~http_server()
+{
+    MHD_stop_daemon(daemon_);
+    if (listener_ >= 0)
+    {
+        close(listener_);
+    }
+}
+
+std::uint16_t http_server::port() const
+{
+    return MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+void http_server::stop_accepting()
+{
+    if (listener_ < 0)
+    {
+        listener_ = MHD_quiesce_daemon(daemon_);
+    }
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/http_server.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "process/clock.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+struct MHD_Connection;
+struct MHD_Daemon;
+
+namespace mangolink
+{
+
+class http_exchange;
+
+/// Where and how a server listens.
+struct http_server_settings final
+{
+    std::string address; ///< IPv4 "host:port"; port 0 picks a free one
+    std::uint32_t threads = 1;
+    std::uint32_t max_connections = 4000;
+    std::size_t max_body = 1024 * 1024;       ///< bytes
+    std::size_t connection_memory = 8 * 1024; ///< bytes
+    std::chrono::seconds idle_limit{60};
+};
+
+/// HTTP/1.1 server on threads of its own.
+class http_server final
+{
+public:
+    /// Called on a server thread when a request has arrived whole.
+    using handler = std::function<void(std::shared_ptr<http_exchange>)>;
+
+    /// Starts to listen; throws std::runtime_error when it cannot.
+    http_server(http_server_settings settings, handler on_request);
+
+    /// Stops at once. Every exchange must have been answered before.
+    ~http_server();
+
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// Returns the port in use.
+    std::uint16_t port() const;
+
+    /// Returns how many requests are being received or answered.
+    std::size_t active() const { return active_; }
+
+    /// Closes the listening socket; open connections go on.
+    void stop_accepting();
+
+private:
+    struct callbacks;
+
+    http_server_settings settings_;
+    handler on_request_;
+    MHD_Daemon* daemon_ = nullptr;
+    int listener_ = -1;
+    std::atomic<std::size_t> active_{0};
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/peer_router.cpp
@@ -0,0 +1,153 @@
+#include "connection/peer_router.hpp"
+
+#include <zmq.h>
+
+#include <stdexcept>
+
+namespace mangolink
+{
+namespace
+{
+
+constexpr int reconnect_first_ms = 50;
+constexpr int reconnect_most_ms = 1000;
+constexpr int connection_heartbeat_ms = 2000;
+constexpr int connection_timeout_ms = 6000;
+
+[[noreturn]] void fail(const std::string& what)
+{
+    throw std::runtime_error(what + ": " + zmq_strerror(zmq_errno()));
+}
+
+template <class T>
+void set(void* socket, int option, T value)
+{
+    if (zmq_setsockopt(socket, option, &value, sizeof value) != 0)
+    {
+        fail("socket option");
+    }
+}
+
+std::string take(zmq_msg_t& part)
+{
+    return {static_cast<const char*>(zmq_msg_data(&part)), zmq_msg_size(&part)};
+}
+
+} // namespace
+
+peer_router::peer_router(const peer_router_settings& settings)
+    : context_(zmq_ctx_new()), socket_(zmq_socket(context_, ZMQ_ROUTER))
+{
+    if (socket_ == nullptr)
+    {
+        fail("router socket");
+    }
+    zmq_setsockopt(socket_, ZMQ_ROUTING_ID, settings.route.data(),
+                   settings.route.size());
+    set(socket_, ZMQ_ROUTER_MANDATORY, 1);
+    set(socket_, ZMQ_LINGER, 0);
+    set(socket_, ZMQ_SNDHWM, settings.send_limit);
+    set(socket_, ZMQ_RCVHWM, settings.receive_limit);
+    set(socket_, ZMQ_MAXMSGSIZE, settings.max_message);
+    set(socket_, ZMQ_RECONNECT_IVL, reconnect_first_ms);
+    set(socket_, ZMQ_RECONNECT_IVL_MAX, reconnect_most_ms);
+    set(socket_, ZMQ_HEARTBEAT_IVL, connection_heartbeat_ms);
+    set(socket_, ZMQ_HEARTBEAT_TIMEOUT, connection_timeout_ms);
+}
+
+peer_router::~peer_router()
+{
+    zmq_close(socket_);
+    zmq_ctx_term(context_);
+}
+
+void peer_router::bind(const std::string& address)
+{
+    if (zmq_bind(socket_, ("tcp://" + address).c_str()) != 0)
+    {
+        fail("cannot listen on " + address);
+    }
+}
+
+std::string peer_router::bound_address() const
+{
+    char buffer[128];
+    std::size_t size = sizeof buffer;
+    if (zmq_getsockopt(socket_, ZMQ_LAST_ENDPOINT, buffer, &size) != 0)
+    {
+        fail("endpoint");
+    }
+    const std::string endpoint(buffer);
+    return endpoint.substr(std::string_view("tcp://").size());
+}
+
+void peer_router::connect(const std::string& address, const std::string& route)
+{
+    zmq_setsockopt(socket_, ZMQ_CONNECT_ROUTING_ID, route.data(), route.size());
+    if (zmq_connect(socket_, ("tcp://" + address).c_str()) != 0)
+    {
+        fail("cannot connect to " + address);
+    }
+}
+
+void peer_router::disconnect(const std::string& address)
+{
+    zmq_disconnect(socket_, ("tcp://" + address).c_str());
+}
+
+bool peer_router::send(const std::string& route, std::string_view bytes)
+{
+    constexpr int first_part = ZMQ_SNDMORE | ZMQ_DONTWAIT;
+    if (zmq_send(socket_, route.data(), route.size(), first_part) < 0)
+    {
+        return false;
+    }
+    return zmq_send(socket_, bytes.data(), bytes.size(), ZMQ_DONTWAIT) >= 0;
+}
+
+std::optional<routed_message> peer_router::receive()
+{
+    zmq_msg_t part;
+    zmq_msg_init(&part);
+    if (zmq_msg_recv(&part, socket_, ZMQ_DONTWAIT) < 0)
+    {
+        zmq_msg_close(&part);
+        return std::nullopt;
+    }
+    routed_message message;
+    message.route = take(part);
+    int parts = 1;
+    while (zmq_msg_more(&part) != 0)
+    {
+        if (zmq_msg_recv(&part, socket_, ZMQ_DONTWAIT) < 0)
+        {
+            break;
+        }
+        ++parts;
+        message.bytes = take(part);
+    }
+    if (parts != 2)
+    {
+        message.bytes.clear(); // not one of ours; it parses as nothing
+    }
+    zmq_msg_close(&part);
+    return message;
+}
+
+int peer_router::descriptor() const
+{
+    int value = -1;
+    std::size_t size = sizeof value;
+    zmq_getsockopt(socket_, ZMQ_FD, &value, &size);
+    return value;
+}
+
+bool peer_router::readable() const
+{
+    int events = 0;
+    std::size_t size = sizeof events;
+    zmq_getsockopt(socket_, ZMQ_EVENTS, &events, &size);
+    return (events & ZMQ_POLLIN) != 0;
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/platform_reader.cpp
@@ -0,0 +1,185 @@
+#include "connection/platform_reader.hpp"
+
+#include "connection/command_queue.hpp"
+#include "process/log.hpp"
+#include "version/configuration_store.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace mangolink
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr milliseconds pause_step{20};
+constexpr std::uint32_t ok = 200;
+
+std::vector<instance_row> parse_instances(const std::string& body)
+{
+    std::vector<instance_row> result;
+    const json parsed = json::parse(body, nullptr, false);
+    if (!parsed.is_object() || !parsed.contains("instances"))
+    {
+        return result;
+    }
+    for (const auto& row : parsed["instances"])
+    {
+        if (row.is_object())
+        {
+            result.push_back({row.value("name", ""), row.value("zone", ""),
+                              row.value("state", "") == "leaving"});
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+platform_reader_events document_events(command_queue& commands,
+                                       configuration_store& store,
+                                       std::function<void()> changed)
+{
+    using take_member = fold_result (configuration_store::*)(std::string_view);
+    const auto offer = [&commands, &store, changed](take_member take)
+    {
+        return [&commands, &store, changed, take](std::string document)
+        {
+            commands.push(
+                [&store, changed, take, document = std::move(document)]
+                {
+                    if ((store.*take)(document).changed)
+                    {
+                        changed();
+                    }
+                });
+        };
+    };
+    platform_reader_events events;
+    events.current_number = [&store] { return store.position().number; };
+    events.whole = offer(&configuration_store::accept_whole);
+    events.patch = offer(&configuration_store::accept_patch);
+    return events;
+}
+
+platform_reader::platform_reader(platform_reader_settings settings,
+                                 platform_reader_events events)
+    : settings_(std::move(settings)), events_(std::move(events)),
+      schedule_(settings_.schedule, random_)
+{
+    schedule_.begin(boot_clock::now());
+    if (!settings_.configuration_service.empty())
+    {
+        configuration_thread_ = std::thread([this] { read_configuration(); });
+    }
+    if (!settings_.instance_list.empty())
+    {
+        list_thread_ = std::thread([this] { read_instances(); });
+    }
+}
+
+platform_reader::~platform_reader()
+{
+    stopping_ = true;
+    configuration_client_.abort();
+    list_client_.abort();
+    if (configuration_thread_.joinable())
+    {
+        configuration_thread_.join();
+    }
+    if (list_thread_.joinable())
+    {
+        list_thread_.join();
+    }
+}
+
+void platform_reader::read_configuration()
+{
+    while (!stopping_)
+    {
+        boot_clock::time_point next;
+        bool watch = false;
+        {
+            const std::lock_guard lock(schedule_mutex_);
+            next = schedule_.next_read();
+            watch = schedule_.elected();
+        }
+        if (!pause_until(next))
+        {
+            return;
+        }
+        const bool succeeded = read_configuration_once(watch);
+        const std::lock_guard lock(schedule_mutex_);
+        schedule_.read_ended(succeeded, boot_clock::now());
+    }
+}
+
+bool platform_reader::read_configuration_once(bool watch)
+{
+    const std::uint64_t number = events_.current_number();
+    const auto wait =
+        watch && number > 0 ? settings_.watch_time : milliseconds(0);
+    http_call call;
+    call.url = "http://" + settings_.configuration_service +
+               "/v1/configuration/changes?after=" + std::to_string(number) +
+               "&wait_ms=" + std::to_string(wait.count());
+    call.limit = wait + settings_.call_limit;
+    const http_result result = configuration_client_.call(call);
+    const json parsed = json::parse(result.body, nullptr, false);
+    if (result.status != ok || !parsed.is_object())
+    {
+        log_detail("configuration", "Service gave no answer.",
+                   {{"reason", result.error}});
+        return false;
+    }
+    if (parsed.contains("whole"))
+    {
+        events_.whole(parsed["whole"].dump());
+    }
+    if (parsed.contains("documents") && parsed["documents"].is_array())
+    {
+        for (const auto& document : parsed["documents"])
+        {
+            events_.patch(document.dump());
+        }
+    }
+    return true;
+}
+
+void platform_reader::read_instances()
+{
+    while (!stopping_)
+    {
+        http_call call;
+        call.url = "http://" + settings_.instance_list + "/v1/instances";
+        call.limit = settings_.call_limit;
+        const http_result result = list_client_.call(call);
+        if (result.status == ok)
+        {
+            auto rows = parse_instances(result.body);
+            {
+                const std::lock_guard lock(schedule_mutex_);
+                schedule_.take_instances(rows);
+            }
+            events_.instances(std::move(rows));
+        }
+        if (!pause_until(boot_clock::now() + settings_.list_interval))
+        {
+            return;
+        }
+    }
+}
+
+bool platform_reader::pause_until(boot_clock::time_point when)
+{
+    while (!stopping_ && boot_clock::now() < when)
+    {
+        const auto left = when - boot_clock::now();
+        std::this_thread::sleep_for(
+            std::min<boot_clock::duration>(left, pause_step));
+    }
+    return !stopping_;
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/sse_parser.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mangolink
+{
+
+/// One server-sent event.
+struct sse_event final
+{
+    std::string name; ///< empty when the event has no name
+    std::string data;
+};
+
+/// Reads server-sent events from bytes that arrive in any pieces.
+class sse_parser final
+{
+public:
+    /// Takes bytes; returns the events that are now whole.
+    std::vector<sse_event> add(std::string_view bytes);
+
+    /// Returns whether a line or event is longer than the limit.
+    bool overrun() const { return overrun_; }
+
+private:
+    void take_line(std::string_view line, std::vector<sse_event>& events);
+
+    std::string partial_;
+    sse_event current_;
+    bool overrun_ = false;
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/process/agent_settings.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "process/agent_core.hpp"
+#include "process/instance_settings.hpp"
+
+#include <string>
+
+namespace mangolink
+{
+
+/// All settings of mangolink-agent.
+struct agent_settings final
+{
+    instance_settings instance;
+    std::string listen;          ///< for entries
+    std::string backend_address; ///< host:port of the backend server
+    agent_core_settings core;
+
+    /// Reads every setting; problems are left in the reader.
+    static agent_settings read(settings_reader& reader);
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/process/entry_core.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "process/clock.hpp"
+#include "process/entry_actions.hpp"
+#include "process/incarnation.hpp"
+#include "process/member_table.hpp"
+#include "process/peer_versions.hpp"
+#include "request/backend_selector.hpp"
+#include "request/customer_limiter.hpp"
+#include "request/retry_budget.hpp"
+#include "request/run_executor.hpp"
+#include "request/service_estimator.hpp"
+
+#include <absl/random/bit_gen_ref.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace mangolink
+{
+
+class configuration_store;
+
+/// Settings of all decisions of an entry.
+struct entry_core_settings final
+{
+    member_table_settings members;
+    backend_selector_settings selector;
+    run_executor_settings executor;
+    milliseconds heartbeat_interval{1000};
+    double retry_share = 0.1;    ///< retries per success
+    double retry_reserve = 50.0; ///< retries allowed at once
+};
+
+/// Decides for an entry: membership of its agents, their heartbeats, requests
+/// and the exchange of configuration with agents.
+///
+/// Events and the time come in, actions go out. All members are called on one
+/// thread.
+class entry_core final : private run_actions
+{
+public:
+    entry_core(entry_core_settings settings, incarnation own,
+               configuration_store& store, absl::BitGenRef random,
+               entry_actions& actions);
+
+    /// Admits a request, or ends it at once.
+    void start(run_request request, boot_clock::time_point now);
+
+    /// Withdraws a request whose caller left.
+    void caller_gone(const request_id& id, boot_clock::time_point now);
+
+    /// Takes a message of an agent.
+    void on_message(member_id from, wire::envelope& message,
+                    boot_clock::time_point now);
+
+    /// Takes the configuration in force, after the store accepted one.
+    void configuration_changed();
+
+    /// Takes the names that the instance list shows as leaving.
+    void instances_leaving(const std::vector<std::string>& names);
+
+    /// Does what is due: deadlines, heartbeats, silent members.
+    void on_time(boot_clock::time_point now);
+
+    /// Returns the time of the next deadline or heartbeat.
+    boot_clock::time_point next_time() const;
+
+    /// Returns a fresh key for a pipeline, or a code when it has no
+    /// non-idempotent stage or no usable backend server.
+    struct issued_key final
+    {
+        result_code code = result_code::complete;
+        std::string key;
+    };
+    issued_key issue_key(const pipeline& what,
+                         std::chrono::system_clock::time_point wall,
+                         boot_clock::time_point now);
+
+    const member_table& members() const { return members_; }
+    const backend_selector& selector() const { return selector_; }
+    std::size_t requests() const { return executor_.size(); }
+
+private:
+    bool send(member_id to, wire::envelope& message) override;
+    void deliver(const request_id& id, std::string_view text) override;
+    void finish(const request_id& id, run_result result) override;
+
+    void take_load(member_id from, const wire::envelope& message,
+                   boot_clock::time_point now);
+    void send_to_peer(const std::string& peer, wire::envelope& message);
+    void send_heartbeats(boot_clock::time_point now);
+
+    entry_core_settings settings_;
+    incarnation own_;
+    configuration_store& store_;
+    absl::BitGenRef random_;
+    entry_actions& actions_;
+    peer_versions versions_;
+    member_table members_;
+    backend_selector selector_;
+    service_estimator estimator_;
+    customer_limiter limiter_;
+    retry_budget retries_;
+    run_executor executor_;
+    boot_clock::time_point next_heartbeat_;
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/process/entry_settings.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "process/entry_core.hpp"
+#include "process/instance_settings.hpp"
+
+#include <string>
+
+namespace mangolink
+{
+
+/// All settings of mangolink-entry.
+struct entry_settings final
+{
+    instance_settings instance;
+    std::string listen;
+    std::uint32_t http_threads = 2;
+    std::uint32_t max_connections = 4000;
+    std::size_t max_body = 1024 * 1024;
+    milliseconds max_deadline{60'000};
+    milliseconds read_limit{10'000}; ///< for a whole request to arrive
+    microseconds stream_interval{0}; ///< least time between stream writes
+    entry_core_settings core;
+
+    /// Reads every setting; problems are left in the reader.
+    static entry_settings read(settings_reader& reader);
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/process/instance_settings.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "process/clock.hpp"
+#include "process/log.hpp"
+
+#include <string>
+
+namespace mangolink
+{
+
+class settings_reader;
+
+/// Settings that every process of the system has.
+struct instance_settings final
+{
+    std::string name; ///< unique in the instance list
+    std::string zone;
+    std::string region;
+    log_level level = log_level::notice;
+    std::string admin_address;
+    std::string admin_key;
+    std::string configuration_service; ///< host:port; empty: peers only
+    std::string instance_list;         ///< host:port; empty: none
+    milliseconds drain_limit{30'000};
+
+    /// Reads the table [instance] and [platform].
+    static instance_settings read(settings_reader& reader);
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/process/log.cpp
@@ -0,0 +1,98 @@
+#include "process/log.hpp"
+
+#include <easylogging++.h>
+
+// The log library keeps its state in the program that links it.
+INITIALIZE_EASYLOGGINGPP
+
+namespace mangolink
+{
+namespace
+{
+
+log_level current_level = log_level::notice;
+
+std::string escape(std::string_view value)
+{
+    std::string result;
+    for (const char c : value)
+    {
+        if (c == '"' || c == '\\')
+        {
+            result += '\\';
+        }
+        result += (c == '\n' || c == '\r') ? ' ' : c;
+    }
+    return result;
+}
+
+std::string line(std::string_view part, std::string_view sentence,
+                 std::initializer_list<log_field> fields)
+{
+    std::string result(part);
+    result += ": ";
+    result += sentence;
+    for (const auto& field : fields)
+    {
+        if (field.value.empty())
+        {
+            continue;
+        }
+        result += ' ';
+        result += field.name;
+        result += "=\"";
+        result += escape(field.value);
+        result += '"';
+    }
+    return result;
+}
+
+} // namespace
+
+void configure_log(log_level level, const std::string& instance)
+{
+    current_level = level;
+    el::Configurations settings;
+    settings.setToDefault();
+    settings.setGlobally(el::ConfigurationType::Format,
+                         "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level " + instance +
+                             " %msg");
+    settings.setGlobally(el::ConfigurationType::ToFile, "false");
+    settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    el::Loggers::reconfigureAllLoggers(settings);
+}
+
+void log_error(std::string_view part, std::string_view sentence,
+               std::initializer_list<log_field> fields)
+{
+    LOG(ERROR) << line(part, sentence, fields);
+}
+
+void log_warning(std::string_view part, std::string_view sentence,
+                 std::initializer_list<log_field> fields)
+{
+    if (current_level >= log_level::warning)
+    {
+        LOG(WARNING) << line(part, sentence, fields);
+    }
+}
+
+void log_notice(std::string_view part, std::string_view sentence,
+                std::initializer_list<log_field> fields)
+{
+    if (current_level >= log_level::notice)
+    {
+        LOG(INFO) << line(part, sentence, fields);
+    }
+}
+
+void log_detail(std::string_view part, std::string_view sentence,
+                std::initializer_list<log_field> fields)
+{
+    if (current_level >= log_level::detail)
+    {
+        LOG(DEBUG) << line(part, sentence, fields);
+    }
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/process/log.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace mangolink
+{
+
+/// A named value of a log line.
+struct log_field final
+{
+    std::string_view name;
+    std::string value;
+};
+
+/// How much is logged; each level includes those before it.
+enum class log_level
+{
+    error,
+    warning,
+    notice,
+    detail
+};
+
+/// Sets the level and the line format. Call once, before threads start.
+/// The instance name is part of every line.
+void configure_log(log_level level, const std::string& instance);
+
+/// Write one line: time, level, instance, the part's prefix, a short sentence
+/// and the fields as name="value". Any thread may call them.
+void log_error(std::string_view part, std::string_view sentence,
+               std::initializer_list<log_field> fields = {});
+void log_warning(std::string_view part, std::string_view sentence,
+                 std::initializer_list<log_field> fields = {});
+void log_notice(std::string_view part, std::string_view sentence,
+                std::initializer_list<log_field> fields = {});
+void log_detail(std::string_view part, std::string_view sentence,
+                std::initializer_list<log_field> fields = {});
+
+} // namespace mangolink
--- /dev/null
+++ b/src/process/rcu_cell.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <urcu-bp.h>
+
+#include <memory>
+
+namespace mangolink
+{
+
+/// Holds one shared immutable value that readers copy without a lock.
+///
+/// Readers on any thread call load(); one writer at a time calls store().
+template <class T>
+class rcu_cell final
+{
+public:
+    using pointer = std::shared_ptr<const T>;
+
+    explicit rcu_cell(pointer first = nullptr)
+        : current_(new pointer(std::move(first)))
+    {
+    }
+
+    rcu_cell(const rcu_cell&) = delete;
+    rcu_cell& operator=(const rcu_cell&) = delete;
+
+    ~rcu_cell() { delete current_; }
+
+    /// Returns the newest value stored.
+    pointer load() const
+    {
+        urcu_bp_read_lock();
+        pointer copy = *rcu_dereference(current_);
+        urcu_bp_read_unlock();
+        return copy;
+    }
+
+    /// Publishes a value and waits until no reader uses the previous one.
+    void store(pointer next)
+    {
+        auto* fresh = new pointer(std::move(next));
+        pointer* previous = rcu_xchg_pointer(&current_, fresh);
+        urcu_bp_synchronize_rcu();
+        delete previous;
+    }
+
+private:
+    pointer* current_;
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/process/socket_address.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace mangolink
+{
+
+/// IPv4 address and port of a TCP socket.
+struct socket_address final
+{
+    std::string host;
+    std::uint16_t port = 0;
+
+    /// Reads "127.0.0.1:7000"; empty when the text is not of this form.
+    static std::optional<socket_address> parse(std::string_view text);
+
+    std::string text() const;
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/programs/agent_main.cpp
@@ -0,0 +1,15 @@
+#include "connection/agent_server.hpp"
+#include "process/server_program.hpp"
+
+#include <curl/curl.h>
+
+int main(int argc, char** argv)
+{
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    const mangolink::program_info program{"mangolink-agent",
+                                          "Gives one backend server its work.",
+                                          MANGOLINK_VERSION};
+    return mangolink::run_server_program<mangolink::agent_settings,
+                                         mangolink::agent_server>(argc, argv,
+                                                                  program);
+}
--- /dev/null
+++ b/src/request/backend_selector.cpp
@@ -0,0 +1,155 @@
+#include "request/backend_selector.hpp"
+
+#include "process/member_table.hpp"
+
+#include <absl/random/distributions.h>
+
+#include <algorithm>
+#include <array>
+#include <stdexcept>
+
+namespace mangolink
+{
+
+struct backend_selector::policy_row final
+{
+    std::string_view name;
+    policy_member choose;
+};
+
+backend_selector::backend_selector(backend_selector_settings settings,
+                                   const member_table& members,
+                                   absl::BitGenRef random)
+    : settings_(std::move(settings)), members_(members), random_(random),
+      policy_(policy_named(settings_.policy))
+{
+}
+
+std::optional<scored_member>
+backend_selector::select(std::uint32_t pool,
+                         std::span<const member_id> excluded,
+                         boot_clock::time_point now)
+{
+    usable_.clear();
+    for (const member_id id : members_.pool(pool))
+    {
+        const bool skip =
+            std::find(excluded.begin(), excluded.end(), id) != excluded.end();
+        if (!skip && members_.usable(*members_.find(id), now))
+        {
+            usable_.push_back(id);
+        }
+    }
+    if (usable_.empty())
+    {
+        return std::nullopt;
+    }
+    return (this->*policy_)(usable_);
+}
+
+microseconds backend_selector::expected_wait(const member& candidate) const
+{
+    const microseconds work =
+        candidate.load.queued_work + candidate.unreported_work;
+    return work / static_cast<std::int64_t>(candidate.load.limit);
+}
+
+std::vector<scored_member>
+backend_selector::explain(std::uint32_t pool, boot_clock::time_point now) const
+{
+    std::vector<scored_member> result;
+    for (const member_id id : members_.pool(pool))
+    {
+        if (members_.usable(*members_.find(id), now))
+        {
+            result.push_back(score(id));
+        }
+    }
+    std::sort(result.begin(), result.end(),
+              [](const scored_member& a, const scored_member& b)
+              { return a.score < b.score; });
+    return result;
+}
+
+backend_selector::policy_member
+backend_selector::policy_named(const std::string& name)
+{
+    static constexpr std::array<policy_row, 3> policies{{
+        {"expected_wait", &backend_selector::choose_expected_wait},
+        {"round_robin", &backend_selector::choose_round_robin},
+        {"least_requests", &backend_selector::choose_least_requests},
+    }};
+    for (const auto& row : policies)
+    {
+        if (row.name == name)
+        {
+            return row.choose;
+        }
+    }
+    throw std::invalid_argument("no routing policy " + name);
+}
+
+std::optional<scored_member>
+backend_selector::choose_expected_wait(std::span<const member_id> usable)
+{
+    // Small pools are compared whole; sampling only helps large ones.
+    const std::size_t samples = settings_.choices * 3;
+    std::optional<scored_member> best;
+    const auto consider = [&](member_id id)
+    {
+        const scored_member candidate = score(id);
+        if (!best || candidate.score < best->score)
+        {
+            best = candidate;
+        }
+    };
+    if (usable.size() <= samples)
+    {
+        const std::size_t first =
+            absl::Uniform<std::size_t>(random_, 0, usable.size());
+        for (std::size_t i = 0; i < usable.size(); ++i)
+        {
+            consider(usable[(first + i) % usable.size()]);
+        }
+        return best;
+    }
+    for (std::size_t i = 0; i < samples; ++i)
+    {
+        consider(usable[absl::Uniform<std::size_t>(random_, 0, usable.size())]);
+    }
+    return best;
+}
+
+std::optional<scored_member>
+backend_selector::choose_round_robin(std::span<const member_id> usable)
+{
+    return score(usable[turn_++ % usable.size()]);
+}
+
+std::optional<scored_member>
+backend_selector::choose_least_requests(std::span<const member_id> usable)
+{
+    const auto fewer = [this](member_id a, member_id b)
+    { return members_.find(a)->outstanding < members_.find(b)->outstanding; };
+    return score(*std::min_element(usable.begin(), usable.end(), fewer));
+}
+
+scored_member backend_selector::score(member_id id) const
+{
+    const member& candidate = *members_.find(id);
+    scored_member result;
+    result.id = id;
+    result.wait = expected_wait(candidate);
+    result.score = result.wait + candidate.load.service_time;
+    if (candidate.where != distance::same_zone)
+    {
+        result.score += settings_.zone_price;
+    }
+    if (candidate.where == distance::other_region)
+    {
+        result.score += settings_.region_price;
+    }
+    return result;
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/request/run_executor.cpp
@@ -0,0 +1,529 @@
+#include "request/run_executor.hpp"
+
+#include "process/member_table.hpp"
+#include "request/backend_selector.hpp"
+#include "request/customer_limiter.hpp"
+#include "request/retry_budget.hpp"
+#include "request/run_actions.hpp"
+#include "request/service_estimator.hpp"
+#include "request/stage_codec.hpp"
+#include "wire/mangolink.pb.h"
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+namespace mangolink
+{
+namespace
+{
+
+/// Refusals that another backend server may not repeat.
+constexpr std::array retryable_refusals{
+    result_code::queue_full,        result_code::leaving,
+    result_code::stale_incarnation, result_code::server_unreachable,
+    result_code::not_ready,         result_code::deadline_unreachable};
+
+bool retryable(result_code code)
+{
+    return std::find(retryable_refusals.begin(), retryable_refusals.end(),
+                     code) != retryable_refusals.end();
+}
+
+void set_ref(wire::attempt_ref& ref, const pipeline_run& run,
+             const stage_attempt& attempt)
+{
+    ref.set_request_id(run.request.id.bytes());
+    ref.set_stage(attempt.stage);
+    ref.set_attempt(attempt.number);
+}
+
+} // namespace
+
+run_executor::run_executor(run_executor_settings settings,
+                           run_executor_parts parts)
+    : settings_(settings), parts_(parts)
+{
+}
+
+run_executor::~run_executor() = default;
+
+void run_executor::start(run_request request, boot_clock::time_point now)
+{
+    const request_id id = request.id;
+    auto owned = std::make_unique<pipeline_run>(std::move(request));
+    pipeline_run& run = *owned;
+    deadlines_.emplace(run.request.deadline, id);
+    runs_.emplace(id, std::move(owned));
+    const verdict admitted = admit(run, now);
+    if (admitted.code != result_code::complete)
+    {
+        end(run, admitted);
+        return;
+    }
+    begin_stage(run, now);
+}
+
+void run_executor::on_chunk(member_id from, incarnation sender,
+                            wire::chunk& message)
+{
+    const found_attempt found = find(from, sender, message.ref());
+    if (found.run == nullptr || found.attempt->state != attempt_state::pending)
+    {
+        return;
+    }
+    pipeline_run& run = *found.run;
+    const std::string text = found.attempt->assembler.add(
+        message.sequence(), std::move(*message.mutable_data()));
+    if (text.empty())
+    {
+        return;
+    }
+    if (run.request.streamed && run.last_stage())
+    {
+        run.delivered_bytes += text.size();
+        parts_.actions.deliver(run.request.id, text);
+        return;
+    }
+    run.request.context.answer += text;
+}
+
+void run_executor::on_finished(member_id from, incarnation sender,
+                               wire::finished& message,
+                               boot_clock::time_point now)
+{
+    const found_attempt found = find(from, sender, message.ref());
+    if (found.run == nullptr || found.attempt->state != attempt_state::pending)
+    {
+        return;
+    }
+    set_state(*found.attempt, attempt_state::ended);
+    stage_answered(*found.run, *found.attempt, message, now);
+}
+
+void run_executor::on_refused(member_id from, incarnation sender,
+                              const wire::refused& message,
+                              boot_clock::time_point now)
+{
+    const found_attempt found = find(from, sender, message.ref());
+    if (found.run == nullptr || found.attempt->state != attempt_state::pending)
+    {
+        return;
+    }
+    set_state(*found.attempt, attempt_state::refused);
+    const auto code = result_code_from_wire(message.code());
+    if (code == result_code::server_unreachable)
+    {
+        parts_.members.failed(from, now);
+    }
+    if (retryable(code))
+    {
+        retry_or_end(*found.run, code, true, now);
+        return;
+    }
+    end(*found.run, {code, from_wire(message.retry_after_us())});
+}
+
+void run_executor::on_member_lost(member_id where, boot_clock::time_point now)
+{
+    std::vector<request_id> affected;
+    for (const auto& [id, run] : runs_)
+    {
+        for (auto& attempt : run->attempts)
+        {
+            if (attempt.where == where &&
+                attempt.state == attempt_state::pending)
+            {
+                affected.push_back(id);
+                break;
+            }
+        }
+    }
+    for (const auto& id : affected)
+    {
+        pipeline_run& run = *runs_.at(id);
+        for (auto& attempt : run.attempts)
+        {
+            if (attempt.where == where &&
+                attempt.state == attempt_state::pending)
+            {
+                set_state(attempt, attempt_state::lost);
+            }
+        }
+        retry_or_end(run, result_code::no_answer, false, now);
+    }
+}
+
+void run_executor::on_caller_gone(const request_id& id, boot_clock::time_point)
+{
+    const auto found = runs_.find(id);
+    if (found != runs_.end())
+    {
+        end(*found->second, {result_code::caller_gone});
+    }
+}
+
+void run_executor::on_time(boot_clock::time_point now)
+{
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now)
+    {
+        pipeline_run& run = *runs_.at(deadlines_.begin()->second);
+        switch (run.proven_outcome())
+        {
+        case outcome::not_run:
+            end(run, {result_code::deadline_passed});
+            break;
+        case outcome::failed:
+            end(run, {result_code::deadline_passed_running});
+            break;
+        default:
+            end(run, {result_code::no_answer});
+            break;
+        }
+    }
+}
+
+boot_clock::time_point run_executor::next_deadline() const
+{
+    return deadlines_.empty() ? boot_clock::time_point::max()
+                              : deadlines_.begin()->first;
+}
+
+run_executor::verdict run_executor::admit(const pipeline_run& run,
+                                          boot_clock::time_point now)
+{
+    if (runs_.size() > settings_.max_runs)
+    {
+        return {result_code::entry_overloaded, seconds(1)};
+    }
+    const microseconds wait = parts_.limiter.take(*run.request.who, now);
+    if (wait > microseconds(0))
+    {
+        return {result_code::customer_over_limit, wait};
+    }
+    if (!settings_.admission)
+    {
+        return {};
+    }
+    return time_check(run, now);
+}
+
+run_executor::verdict run_executor::time_check(const pipeline_run& run,
+                                               boot_clock::time_point now)
+{
+    const auto& stages = run.request.what->stages;
+    microseconds expected{0};
+    microseconds longest_wait{0};
+    for (std::uint32_t i = run.stage; i < stages.size(); ++i)
+    {
+        const auto best = parts_.selector.select(stages[i].pool, {}, now);
+        if (!best && !run.request.key)
+        {
+            return {result_code::no_server, seconds(1)};
+        }
+        const microseconds wait = best ? best->wait : microseconds(0);
+        longest_wait = std::max(longest_wait, wait);
+        expected += wait + expected_work(run, i);
+    }
+    if (now + expected > run.request.deadline)
+    {
+        return {result_code::deadline_unreachable,
+                std::max<microseconds>(longest_wait, milliseconds(100))};
+    }
+    return {};
+}
+
+microseconds run_executor::expected_work(const pipeline_run& run,
+                                         std::uint32_t stage) const
+{
+    const pipeline_stage& what = run.request.what->stages[stage];
+    const auto learned = parts_.estimator.estimate(what.estimate_key);
+    const double units = codec_of(what.kind).work_units(run.request.context);
+    return std::chrono::duration_cast<microseconds>(learned.mean * units);
+}
+
+microseconds run_executor::reserve_for_later(const pipeline_run& run) const
+{
+    microseconds reserve{0};
+    for (std::uint32_t i = run.stage + 1; i < run.request.what->stages.size();
+         ++i)
+    {
+        reserve += expected_work(run, i);
+    }
+    return reserve;
+}
+
+void run_executor::begin_stage(pipeline_run& run, boot_clock::time_point now)
+{
+    run.stage_started = now;
+    stage_report report;
+    report.stage = run.current_stage().name;
+    run.reports.push_back(std::move(report));
+    dispatch(run, now);
+}
+
+void run_executor::dispatch(pipeline_run& run, boot_clock::time_point now)
+{
+    const auto remaining =
+        std::chrono::duration_cast<microseconds>(run.request.deadline - now);
+    const microseconds budget = remaining - reserve_for_later(run);
+    if (budget <= microseconds(0))
+    {
+        end(run, {result_code::deadline_unreachable});
+        return;
+    }
+    member_id chosen{};
+    const verdict choice = choose_member(run, now, chosen);
+    if (choice.code != result_code::complete)
+    {
+        end(run, choice);
+        return;
+    }
+    send_attempt(run, chosen, budget, now);
+}
+
+run_executor::verdict run_executor::choose_member(const pipeline_run& run,
+                                                  boot_clock::time_point now,
+                                                  member_id& chosen)
+{
+    const pipeline_stage& stage = run.current_stage();
+    if (run.request.key && !stage.idempotent)
+    {
+        const member* owner =
+            parts_.members.find_by_name(run.request.key->server);
+        if (owner == nullptr || !parts_.members.usable(*owner, now) ||
+            !(owner->known_incarnation == run.request.key->owner))
+        {
+            return {result_code::key_owner_gone};
+        }
+        chosen = owner->id;
+        return {};
+    }
+    const auto best =
+        parts_.selector.select(stage.pool, run.members_tried(), now);
+    if (!best)
+    {
+        return {result_code::no_server, seconds(1)};
+    }
+    chosen = best->id;
+    return {};
+}
+
+void run_executor::send_attempt(pipeline_run& run, member_id where,
+                                microseconds budget, boot_clock::time_point now)
+{
+    const pipeline_stage& stage = run.current_stage();
+    const stage_codec& codec = codec_of(stage.kind);
+    const member& target = *parts_.members.find(where);
+    const microseconds work = expected_work(run, run.stage);
+
+    stage_attempt attempt;
+    attempt.where = where;
+    attempt.addressed = target.known_incarnation;
+    attempt.stage = run.stage;
+    attempt.number = run.attempts_of_stage();
+
+    wire::envelope message;
+    message.set_receiver(attempt.addressed.value());
+    wire::submit& submit = *message.mutable_submit();
+    submit.set_request_id(run.request.id.bytes());
+    submit.set_stage(run.stage);
+    submit.set_attempt(attempt.number);
+    submit.set_kind(static_cast<std::uint32_t>(stage.kind));
+    submit.set_path(stage.path);
+    submit.set_body(
+        codec.request_body(run.request.context, stage, run.request.priority));
+    submit.set_budget_us(to_wire(budget));
+    submit.set_customer(run.request.who->name);
+    submit.set_weight(run.request.who->share);
+    submit.set_priority(run.request.priority);
+    submit.set_expected_work_us(to_wire(work));
+    submit.set_idempotent(stage.idempotent);
+    submit.set_streamed(codec.streamed);
+    if (!stage.idempotent)
+    {
+        submit.set_idempotency_key(run.request.key_text);
+    }
+
+    stage_report& report = run.reports.back();
+    report.server = target.name;
+    report.zone = target.zone;
+    ++report.attempts;
+    if (target.where == distance::other_region)
+    {
+        report.cross_region_bytes += submit.ByteSizeLong();
+    }
+    const bool handed_over = parts_.actions.send(where, message);
+    run.attempts.push_back(std::move(attempt));
+    if (!handed_over)
+    {
+        run.attempts.back().state = attempt_state::refused;
+        parts_.members.failed(where, now);
+        retry_or_end(run, result_code::server_unreachable, true, now);
+        return;
+    }
+    parts_.members.sent(where, work);
+}
+
+void run_executor::retry_or_end(pipeline_run& run, result_code code,
+                                bool proven, boot_clock::time_point now)
+{
+    if (may_retry(run, proven))
+    {
+        run.request.context.answer.clear();
+        dispatch(run, now);
+        return;
+    }
+    end(run, {code, proven ? microseconds(seconds(1)) : microseconds(0)});
+}
+
+bool run_executor::may_retry(const pipeline_run& run, bool proven)
+{
+    const bool harmless = proven || run.current_stage().idempotent;
+    return harmless && run.delivered_bytes == 0 &&
+           run.attempts_of_stage() < settings_.max_attempts &&
+           parts_.retries.take();
+}
+
+void run_executor::stage_answered(pipeline_run& run, stage_attempt& attempt,
+                                  wire::finished& message,
+                                  boot_clock::time_point now)
+{
+    const member_id where = attempt.where;
+    stage_report& report = run.reports.back();
+    report.elapsed =
+        std::chrono::duration_cast<microseconds>(now - run.stage_started);
+    report.queued = from_wire(message.queue_us());
+    report.service = from_wire(message.service_us());
+    report.prompt_tokens += message.prompt_tokens();
+    report.cached_tokens += message.cached_tokens();
+    report.generated_tokens += message.generated_tokens();
+    const member* row = parts_.members.find(where);
+    if (row != nullptr && row->where == distance::other_region)
+    {
+        report.cross_region_bytes +=
+            message.ByteSizeLong() + run.delivered_bytes;
+    }
+    const auto code = result_code_from_wire(message.code());
+    if (code == result_code::key_in_progress ||
+        code == result_code::key_owner_gone)
+    {
+        end(run, {code, seconds(1)});
+        return;
+    }
+    if (code != result_code::complete)
+    {
+        parts_.members.failed(where, now);
+        retry_or_end(run, code, false, now);
+        return;
+    }
+    const stage_codec& codec = codec_of(run.current_stage().kind);
+    if (codec.streamed)
+    {
+        attempt.assembler.mark_end(message.chunks(), message.digest());
+        if (!attempt.assembler.intact())
+        {
+            retry_or_end(run, result_code::stream_broken, false, now);
+            return;
+        }
+    }
+    else if (!codec.take_answer(run.request.context, message.body()))
+    {
+        retry_or_end(run, result_code::bad_answer, false, now);
+        return;
+    }
+    parts_.members.succeeded(where);
+    parts_.retries.succeeded();
+    const double units = codec.work_units(run.request.context);
+    parts_.estimator.add(run.current_stage().estimate_key,
+                         std::chrono::duration_cast<microseconds>(
+                             report.service / std::max(units, 1.0)));
+    complete_stage(run, now);
+}
+
+void run_executor::complete_stage(pipeline_run& run, boot_clock::time_point now)
+{
+    if (run.last_stage())
+    {
+        end(run, {result_code::complete});
+        return;
+    }
+    ++run.stage;
+    run.request.context.answer.clear();
+    begin_stage(run, now);
+}
+
+void run_executor::end(pipeline_run& run, verdict why)
+{
+    run_result result;
+    result.code = why.code;
+    result.retry_after = why.retry_after;
+    const bool proves_nothing = why.code == result_code::key_in_progress ||
+                                why.code == result_code::key_owner_gone;
+    result.end = why.code == result_code::complete ? outcome::complete
+                 : proves_nothing                  ? outcome::unknown
+                                                   : run.proven_outcome();
+    if (result.end == outcome::unknown && !proves_nothing)
+    {
+        result.code = result_code::no_answer;
+    }
+    if (result.end == outcome::complete && run.delivered_bytes == 0)
+    {
+        result.answer = std::move(run.request.context.answer);
+    }
+    result.stages = std::move(run.reports);
+    withdraw_pending(run);
+    const request_id id = run.request.id;
+    deadlines_.erase({run.request.deadline, id});
+    const auto keep_alive = std::move(runs_.at(id));
+    runs_.erase(id);
+    parts_.actions.finish(id, std::move(result));
+}
+
+void run_executor::withdraw_pending(pipeline_run& run)
+{
+    for (auto& attempt : run.attempts)
+    {
+        if (attempt.state != attempt_state::pending)
+        {
+            continue;
+        }
+        wire::envelope message;
+        message.set_receiver(attempt.addressed.value());
+        set_ref(*message.mutable_cancel()->mutable_ref(), run, attempt);
+        parts_.actions.send(attempt.where, message);
+        set_state(attempt, attempt_state::lost);
+    }
+}
+
+void run_executor::set_state(stage_attempt& attempt, attempt_state state)
+{
+    attempt.state = state;
+    parts_.members.ended(attempt.where);
+}
+
+run_executor::found_attempt run_executor::find(member_id from,
+                                               incarnation sender,
+                                               const wire::attempt_ref& ref)
+{
+    const auto id = request_id::from_bytes(ref.request_id());
+    if (!id)
+    {
+        return {};
+    }
+    const auto found = runs_.find(*id);
+    if (found == runs_.end())
+    {
+        return {};
+    }
+    stage_attempt* attempt =
+        found->second->find_attempt(ref.stage(), ref.attempt());
+    if (attempt == nullptr || attempt->where != from ||
+        !(attempt->addressed == sender))
+    {
+        return {};
+    }
+    return {found->second.get(), attempt};
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/request/run_executor.hpp
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "process/clock.hpp"
+#include "process/member.hpp"
+#include "request/pipeline_run.hpp"
+#include "request/result_code.hpp"
+
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <memory>
+
+namespace mangolink::wire
+{
+class attempt_ref;
+class chunk;
+class finished;
+class refused;
+} // namespace mangolink::wire
+
+namespace mangolink
+{
+
+class backend_selector;
+class customer_limiter;
+class member_table;
+class retry_budget;
+class run_actions;
+class service_estimator;
+
+/// Limits of one executor.
+struct run_executor_settings final
+{
+    std::uint32_t max_runs = 20'000;
+    std::uint32_t max_attempts = 4; ///< of one stage
+    bool admission = true;          ///< refuse what cannot finish in time
+};
+
+/// Parts that decide for the executor; all outlive it.
+struct run_executor_parts final
+{
+    member_table& members;
+    backend_selector& selector;
+    service_estimator& estimator;
+    customer_limiter& limiter;
+    retry_budget& retries;
+    run_actions& actions;
+};
+
+/// Takes requests through the stages of their pipelines.
+///
+/// Events and the time come in, actions go out; no socket, no thread, no
+/// sleeping. All members are called on one thread.
+class run_executor final
+{
+public:
+    run_executor(run_executor_settings settings, run_executor_parts parts);
+    ~run_executor();
+
+    /// Admits a request and sends its first stage, or ends it at once.
+    void start(run_request request, boot_clock::time_point now);
+
+    /// Take what agents answer. Answers of another incarnation than the one
+    /// addressed are ignored.
+    void on_chunk(member_id from, incarnation sender, wire::chunk& message);
+    void on_finished(member_id from, incarnation sender,
+                     wire::finished& message, boot_clock::time_point now);
+    void on_refused(member_id from, incarnation sender,
+                    const wire::refused& message, boot_clock::time_point now);
+
+    /// Gives up the attempts at a process that is gone or silent.
+    void on_member_lost(member_id where, boot_clock::time_point now);
+
+    /// Withdraws a request whose caller left.
+    void on_caller_gone(const request_id& id, boot_clock::time_point now);
+
+    /// Ends the requests whose deadline has passed.
+    void on_time(boot_clock::time_point now);
+
+    /// Returns the time of the next deadline, or the maximum.
+    boot_clock::time_point next_deadline() const;
+
+    /// Returns how many requests are in flight.
+    std::size_t size() const { return runs_.size(); }
+
+private:
+    using run_pointer = std::unique_ptr<pipeline_run>;
+
+    struct found_attempt final
+    {
+        pipeline_run* run = nullptr;
+        stage_attempt* attempt = nullptr;
+    };
+
+    struct verdict final
+    {
+        result_code code = result_code::complete;
+        microseconds retry_after{0};
+    };
+
+    verdict admit(const pipeline_run& run, boot_clock::time_point now);
+    verdict time_check(const pipeline_run& run, boot_clock::time_point now);
+    microseconds expected_work(const pipeline_run& run,
+                               std::uint32_t stage) const;
+    microseconds reserve_for_later(const pipeline_run& run) const;
+
+    void begin_stage(pipeline_run& run, boot_clock::time_point now);
+    void dispatch(pipeline_run& run, boot_clock::time_point now);
+    verdict choose_member(const pipeline_run& run, boot_clock::time_point now,
+                          member_id& chosen);
+    void send_attempt(pipeline_run& run, member_id where, microseconds budget,
+                      boot_clock::time_point now);
+    void retry_or_end(pipeline_run& run, result_code code, bool proven,
+                      boot_clock::time_point now);
+    bool may_retry(const pipeline_run& run, bool proven);
+    void stage_answered(pipeline_run& run, stage_attempt& attempt,
+                        wire::finished& message, boot_clock::time_point now);
+    void complete_stage(pipeline_run& run, boot_clock::time_point now);
+    void end(pipeline_run& run, verdict why);
+    void withdraw_pending(pipeline_run& run);
+    void set_state(stage_attempt& attempt, attempt_state state);
+    found_attempt find(member_id from, incarnation sender,
+                       const wire::attempt_ref& ref);
+
+    run_executor_settings settings_;
+    run_executor_parts parts_;
+    absl::flat_hash_map<request_id, run_pointer> runs_;
+    absl::btree_set<std::pair<boot_clock::time_point, request_id>> deadlines_;
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/request/work_queue.cpp
@@ -0,0 +1,102 @@
+#include "request/work_queue.hpp"
+
+#include <algorithm>
+
+namespace mangolink
+{
+namespace
+{
+
+/// Idle customers are remembered up to this number.
+constexpr std::size_t max_idle_flows = 4096;
+
+/// Smallest cost of one call in the fair queue.
+constexpr microseconds least_cost{100};
+
+} // namespace
+
+void work_queue::push(queued_work item)
+{
+    flow& row = flows_[item.customer];
+    if (row.waiting.empty())
+    {
+        row.start_tag = std::max(row.start_tag, virtual_time_);
+        active_.emplace(row.start_tag, item.customer);
+    }
+    row.waiting.insert(rank_of(item));
+    total_work_ += item.work;
+    const call_id id = item.id;
+    items_.emplace(id, std::move(item));
+}
+
+std::optional<queued_work> work_queue::pop()
+{
+    if (active_.empty())
+    {
+        return std::nullopt;
+    }
+    const active_flow first = *active_.begin();
+    active_.erase(active_.begin());
+    flow& row = flows_.at(first.second);
+    const call_id id = row.waiting.begin()->id;
+    row.waiting.erase(row.waiting.begin());
+
+    const auto found = items_.find(id);
+    queued_work item = std::move(found->second);
+    items_.erase(found);
+    total_work_ -= item.work;
+
+    virtual_time_ = first.first;
+    const auto cost = std::max(item.work, least_cost);
+    row.start_tag += static_cast<double>(cost.count()) /
+                     static_cast<double>(std::max(item.weight, 1U));
+    if (!row.waiting.empty())
+    {
+        active_.emplace(row.start_tag, first.second);
+    }
+    forget_idle_flows();
+    return item;
+}
+
+bool work_queue::remove(call_id id)
+{
+    const auto found = items_.find(id);
+    if (found == items_.end())
+    {
+        return false;
+    }
+    const queued_work& item = found->second;
+    flow& row = flows_.at(item.customer);
+    row.waiting.erase(rank_of(item));
+    if (row.waiting.empty())
+    {
+        active_.erase({row.start_tag, item.customer});
+    }
+    total_work_ -= item.work;
+    items_.erase(found);
+    return true;
+}
+
+work_queue::rank work_queue::rank_of(const queued_work& item)
+{
+    return {item.priority, item.deadline, item.id};
+}
+
+void work_queue::forget_idle_flows()
+{
+    if (flows_.size() <= max_idle_flows)
+    {
+        return;
+    }
+    for (auto it = flows_.begin(); it != flows_.end();)
+    {
+        const auto current = it++;
+        const bool behind = current->second.start_tag <= virtual_time_;
+        if (current->second.waiting.empty() && behind)
+        {
+            flows_.erase(current);
+        }
+    }
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/version/configuration.cpp
@@ -0,0 +1,52 @@
+#include "version/configuration.hpp"
+
+#include "version/configuration_parser.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace mangolink
+{
+namespace
+{
+
+template <class Rows, class Index>
+auto find_row(const Rows& rows, const Index& index, std::string_view name)
+    -> const typename Rows::value_type*
+{
+    const auto found = index.find(std::string(name));
+    return found == index.end() ? nullptr : &rows[found->second];
+}
+
+} // namespace
+
+bool pipeline::allows(std::string_view customer) const
+{
+    return customers.empty() ||
+           std::binary_search(customers.begin(), customers.end(), customer);
+}
+
+std::shared_ptr<const configuration>
+configuration::parse(const nlohmann::json& value,
+                     configuration_position position)
+{
+    return configuration_parser(position).parse(value);
+}
+
+const pipeline* configuration::find_pipeline(std::string_view name) const
+{
+    return find_row(pipelines_, pipeline_index_, name);
+}
+
+const customer* configuration::find_customer(std::string_view name) const
+{
+    return find_row(customers_, customer_index_, name);
+}
+
+const server_pool* configuration::find_pool(std::string_view name) const
+{
+    return find_row(pools_, pool_index_, name);
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/version/configuration_error.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <stdexcept>
+#include <string>
+
+namespace mangolink
+{
+
+/// A configuration value that is not valid; what() names the place.
+class configuration_error final : public std::runtime_error
+{
+public:
+    configuration_error(const std::string& place, const std::string& reason)
+        : std::runtime_error(place + ": " + reason)
+    {
+    }
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/version/instance_row.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+namespace mangolink
+{
+
+/// One row of the platform's instance list.
+struct instance_row final
+{
+    std::string name;
+    std::string zone;
+    bool leaving = false;
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/version/reader_schedule.cpp
@@ -0,0 +1,74 @@
+#include "version/reader_schedule.hpp"
+
+#include "process/hash.hpp"
+
+#include <absl/random/distributions.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace mangolink
+{
+
+reader_schedule::reader_schedule(reader_schedule_settings settings,
+                                 absl::BitGenRef random)
+    : settings_(std::move(settings)), random_(random),
+      backoff_(settings_.retry_least)
+{
+}
+
+void reader_schedule::take_instances(const std::vector<instance_row>& instances)
+{
+    if (instances.empty())
+    {
+        return;
+    }
+    fleet_ = instances.size();
+    const std::uint64_t own = stable_hash(settings_.instance);
+    std::uint32_t ahead = 0;
+    for (const auto& row : instances)
+    {
+        const bool rival = row.zone == settings_.zone && !row.leaving &&
+                           row.name != settings_.instance;
+        if (rival && stable_hash(row.name) > own)
+        {
+            ++ahead;
+        }
+    }
+    elected_ = ahead < settings_.readers_per_zone;
+}
+
+void reader_schedule::begin(boot_clock::time_point now)
+{
+    const auto spread = settings_.first_spread.count();
+    next_ = now + milliseconds(absl::Uniform<std::int64_t>(absl::IntervalClosed,
+                                                           random_, 0, spread));
+}
+
+void reader_schedule::read_ended(bool succeeded, boot_clock::time_point now)
+{
+    if (!succeeded)
+    {
+        next_ = now + jittered(backoff_);
+        backoff_ = std::min(backoff_ * 2, settings_.retry_most);
+        return;
+    }
+    backoff_ = settings_.retry_least;
+    if (elected_)
+    {
+        next_ = now;
+        return;
+    }
+    const double interval_ms =
+        1000.0 * static_cast<double>(fleet_) / settings_.background_rate;
+    next_ = now + jittered(milliseconds(
+                      std::max<std::int64_t>(1000, std::llround(interval_ms))));
+}
+
+milliseconds reader_schedule::jittered(milliseconds mean)
+{
+    const double factor = absl::Uniform(random_, 0.5, 1.5);
+    return std::chrono::duration_cast<milliseconds>(mean * factor);
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/tests/unit/work_queue_test.cpp
@@ -0,0 +1,87 @@
+#include "request/work_queue.hpp"
+#include "support/story.hpp"
+
+namespace mangolink::test
+{
+namespace
+{
+
+queued_work item(std::uint64_t id, const std::string& customer,
+                 std::uint32_t weight, std::uint32_t priority = 5)
+{
+    queued_work result;
+    result.id = static_cast<call_id>(id);
+    result.customer = customer;
+    result.weight = weight;
+    result.priority = priority;
+    result.work = milliseconds(10);
+    return result;
+}
+
+} // namespace
+
+class work_queue_test final : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(work_queue_test);
+    CPPUNIT_TEST(shares_are_kept);
+    CPPUNIT_TEST(urgent_work_goes_first);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void shares_are_kept()
+    {
+        work_queue queue;
+        for (std::uint64_t i = 0; i < 100; ++i)
+        {
+            queue.push(item(i, "large", 1));
+            queue.push(item(1000 + i, "small", 3));
+        }
+        int small = 0;
+        for (int i = 0; i < 40; ++i)
+        {
+            small += queue.pop()->customer == "small" ? 1 : 0;
+        }
+        section("three of four turns go to the customer with three shares",
+                [&] { CPPUNIT_ASSERT(small >= 29 && small <= 31); });
+        section("a customer that was idle does not catch up",
+                [&]
+                {
+                    for (std::uint64_t i = 0; i < 10; ++i)
+                    {
+                        queue.push(item(2000 + i, "late", 1));
+                    }
+                    int late = 0;
+                    for (int i = 0; i < 10; ++i)
+                    {
+                        late += queue.pop()->customer == "late" ? 1 : 0;
+                    }
+                    CPPUNIT_ASSERT(late >= 1 && late <= 3);
+                });
+    }
+
+    void urgent_work_goes_first()
+    {
+        work_queue queue;
+        queue.push(item(1, "a", 1, 5));
+        queue.push(item(2, "a", 1, 0));
+        queue.push(item(3, "a", 1, 0));
+        section("removed work is not returned",
+                [&]
+                {
+                    CPPUNIT_ASSERT(queue.remove(static_cast<call_id>(3)));
+                    CPPUNIT_ASSERT(!queue.remove(static_cast<call_id>(3)));
+                });
+        section("the urgent one precedes the earlier one",
+                [&]
+                {
+                    CPPUNIT_ASSERT(queue.pop()->id == static_cast<call_id>(2));
+                    CPPUNIT_ASSERT(queue.pop()->id == static_cast<call_id>(1));
+                    CPPUNIT_ASSERT(!queue.pop());
+                    CPPUNIT_ASSERT(queue.total_work() == microseconds(0));
+                });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(work_queue_test);
+
+} // namespace mangolink::test
