Run both example deployments from one description

Cause: the path ran only inside tests; nothing showed a reader the system. Conclusion: tests, quickstart and benches share one launcher.

--- a/tests/support/child_process.cpp
+++ b/bench/lab/child_process.cpp
@@ -1,4 +1,4 @@
-#include "support/child_process.hpp"
+#include "lab/child_process.hpp"
 
 #include <fcntl.h>
 #include <spawn.h>
@@ -9,7 +9,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace mangolink::test
+namespace mangolink::bench
 {
 
 child_process::child_process(const std::vector<std::string>& command,
@@ -86,4 +86,4 @@
     return true;
 }
 
-} // namespace mangolink::test
+} // namespace mangolink::bench
--- a/tests/support/child_process.hpp
+++ b/bench/lab/child_process.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace mangolink::test
+namespace mangolink::bench
 {
 
 /// A process that a test started; killed by id when the test ends.
@@ -22,6 +22,8 @@
     child_process(child_process&& other) noexcept;
     child_process& operator=(child_process&&) = delete;
 
+    pid_t id() const { return id_; }
+
     /// Sends a signal.
     void signal(int number) const;
 
@@ -44,12 +46,12 @@
 template <class Condition>
 bool wait_until(Condition condition, milliseconds limit = milliseconds(30'000));
 
-} // namespace mangolink::test
+} // namespace mangolink::bench
 
 #include <thread>
 
 template <class Condition>
-bool mangolink::test::wait_until(Condition condition, milliseconds limit)
+bool mangolink::bench::wait_until(Condition condition, milliseconds limit)
 {
     const auto end = boot_clock::now() + limit;
     while (!condition())
--- a/tests/support/deployment.cpp
+++ b/bench/lab/deployment.cpp
@@ -1,4 +1,4 @@
-#include "support/deployment.hpp"
+#include "lab/deployment.hpp"
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
@@ -10,7 +10,7 @@
 #include <fstream>
 #include <stdexcept>
 
-namespace mangolink::test
+namespace mangolink::bench
 {
 namespace
 {
@@ -42,24 +42,38 @@
 
 deployment::deployment(std::vector<server_plan> servers, json pipelines,
                        json customers)
-    : servers_(std::move(servers)), pipelines_(std::move(pipelines)),
-      customers_(std::move(customers))
+    : deployment(deployment_plan{.servers = std::move(servers),
+                                 .pipelines = std::move(pipelines),
+                                 .customers = std::move(customers)})
 {
-    std::string pattern =
-        (std::filesystem::temp_directory_path() / "mangolink-XXXXXX").string();
-    folder_ = mkdtemp(pattern.data());
-    json plan{{"servers", json::array()}};
-    for (const auto& row : servers_)
+}
+
+deployment::deployment(deployment_plan plan)
+    : folder_(plan.log_folder), plan_(std::move(plan)),
+      next_port_(plan_.first_port)
+{
+    if (folder_.empty())
     {
-        plan["servers"].push_back({{"kind", row.kind},
-                                   {"name", row.name},
-                                   {"service_us", row.service_us},
-                                   {"listen", address("backend " + row.name)}});
+        std::string pattern =
+            (std::filesystem::temp_directory_path() / "mangolink-XXXXXX")
+                .string();
+        folder_ = mkdtemp(pattern.data());
     }
-    plan["platform"] = {{"listen", address("platform")},
-                        {"value", first_value()}};
+    std::filesystem::create_directories(folder_);
+    json standins{{"servers", json::array()}};
+    for (const auto& row : plan_.servers)
+    {
+        json server = row.model;
+        server["kind"] = row.kind;
+        server["name"] = row.name;
+        server["service_us"] = row.service_us;
+        server["listen"] = backend_address(row.name);
+        standins["servers"].push_back(std::move(server));
+    }
+    standins["platform"] = {{"listen", address("platform")},
+                            {"value", first_value()}};
     const std::string path = folder_ + "/plan.json";
-    write_file(path, plan.dump());
+    write_file(path, standins.dump());
     processes_["standins"] = std::make_unique<child_process>(
         std::vector<std::string>{BENCH_DIRECTORY "/mangolink-standins",
                                  "--plan", path},
@@ -74,18 +88,26 @@
 deployment::~deployment()
 {
     processes_.clear();
-    std::error_code ignored;
-    std::filesystem::remove_all(folder_, ignored);
+    if (plan_.log_folder.empty())
+    {
+        std::error_code ignored;
+        std::filesystem::remove_all(folder_, ignored);
+    }
 }
 
 void deployment::start_agent(const std::string& server,
                              const std::vector<std::string>& overrides)
 {
-    for (const auto& row : servers_)
+    for (const auto& row : plan_.servers)
     {
         if (row.name == server)
         {
-            start("mangolink-agent", server, settings_text(server, &row),
+            start("mangolink-agent", server,
+                  instance_text(server, row.zone, row.region) +
+                      "[agent]\nlisten = \"" + address("agent " + server) +
+                      "\"\nbackend_address = \"" + backend_address(server) +
+                      "\"\nbackend_server = \"" + server +
+                      "\"\nlimit = " + std::to_string(row.limit) + "\n",
                   overrides);
         }
     }
@@ -94,19 +116,33 @@
 void deployment::start_entry(const std::string& name,
                              const std::vector<std::string>& overrides)
 {
-    start("mangolink-entry", name, settings_text(name, nullptr), overrides);
+    entry_plan plan{name};
+    for (const auto& row : plan_.entries)
+    {
+        plan = row.name == name ? row : plan;
+    }
+    start("mangolink-entry", name,
+          instance_text(name, plan.zone, plan.region) + "[entry]\nlisten = \"" +
+              caller_address(name) + "\"\n",
+          overrides);
 }
 
-void deployment::start_all()
+void deployment::start_all(const std::vector<std::string>& overrides)
 {
-    for (const auto& row : servers_)
+    for (const auto& row : plan_.servers)
     {
         start_agent(row.name);
     }
-    start_entry("entry-1");
-    if (!ready("entry-1", servers_.size()))
+    for (const auto& row : plan_.entries)
     {
-        throw std::runtime_error("entry did not become ready");
+        start_entry(row.name, overrides);
+    }
+    for (const auto& row : plan_.entries)
+    {
+        if (!ready(row.name, plan_.servers.size()))
+        {
+            throw std::runtime_error(row.name + " did not become ready");
+        }
     }
 }
 
@@ -168,7 +204,8 @@
 
 json deployment::executions() const
 {
-    const auto result = standin(servers_.front().name, "/control/executions");
+    const auto result =
+        standin(plan_.servers.front().name, "/control/executions");
     return json::parse(result.body).at("executions");
 }
 
@@ -177,13 +214,28 @@
     return address("callers " + entry);
 }
 
+std::string deployment::backend_address(const std::string& server) const
+{
+    return address("backend " + server);
+}
+
+std::string deployment::admin_address(const std::string& name) const
+{
+    return address("admin " + name);
+}
+
+pid_t deployment::process_id(const std::string& name) const
+{
+    return processes_.at(name)->id();
+}
+
 json deployment::first_value() const
 {
     json value{{"pools", json::object()},
                {"backend_servers", json::object()},
-               {"pipelines", pipelines_},
-               {"customers", customers_}};
-    for (const auto& row : servers_)
+               {"pipelines", plan_.pipelines},
+               {"customers", plan_.customers}};
+    for (const auto& row : plan_.servers)
     {
         value["pools"][row.pool] = json::object();
         value["backend_servers"][row.name] = {
@@ -195,24 +247,15 @@
     return value;
 }
 
-std::string deployment::settings_text(const std::string& name,
-                                      const server_plan* server) const
+std::string deployment::instance_text(const std::string& name,
+                                      const std::string& zone,
+                                      const std::string& region) const
 {
-    std::string text =
-        "[instance]\nname = \"" + name + "\"\nzone = \"" +
-        (server != nullptr ? server->zone : "zone-a") + "\"\nregion = \"" +
-        (server != nullptr ? server->region : "vestland") +
-        "\"\nadmin_address = \"" + address("admin " + name) +
-        "\"\nadmin_key = \"" + admin_key +
-        "\"\n[platform]\nconfiguration_service = \"" + address("platform") +
-        "\"\ninstance_list = \"" + address("platform") + "\"\n";
-    if (server != nullptr)
-    {
-        return text + "[agent]\nlisten = \"" + address("agent " + name) +
-               "\"\nbackend_address = \"" + address("backend " + name) +
-               "\"\nbackend_server = \"" + name + "\"\n";
-    }
-    return text + "[entry]\nlisten = \"" + caller_address(name) + "\"\n";
+    return "[instance]\nname = \"" + name + "\"\nzone = \"" + zone +
+           "\"\nregion = \"" + region + "\"\nadmin_address = \"" +
+           admin_address(name) + "\"\nadmin_key = \"" + admin_key +
+           "\"\n[platform]\nconfiguration_service = \"" + address("platform") +
+           "\"\ninstance_list = \"" + address("platform") + "\"\n";
 }
 
 void deployment::start(const std::string& program, const std::string& name,
@@ -232,10 +275,11 @@
         std::make_unique<child_process>(command, folder_ + "/" + name + ".log");
 }
 
-std::uint16_t deployment::free_port()
+std::uint16_t deployment::free_port() const
 {
-    static std::uint16_t next =
+    static std::uint16_t shared =
         first_port + static_cast<std::uint16_t>(getpid() % 4000);
+    std::uint16_t& next = plan_.first_port == 0 ? shared : next_port_;
     for (; next < last_port; ++next)
     {
         const int probe = socket(AF_INET, SOCK_STREAM, 0);
@@ -264,4 +308,4 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
-} // namespace mangolink::test
+} // namespace mangolink::bench
--- a/tests/support/deployment.hpp
+++ b/bench/lab/deployment.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "connection/http_client.hpp"
-#include "support/child_process.hpp"
+#include "lab/child_process.hpp"
+#include "lab/deployment_plan.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -10,26 +11,16 @@
 #include <string>
 #include <vector>
 
-namespace mangolink::test
+namespace mangolink::bench
 {
 
-/// One backend server of a test with its agent.
-struct server_plan final
-{
-    std::string name;
-    std::string pool;
-    std::string kind = "pool"; ///< or "engine"
-    int service_us = 2000;
-    std::string zone = "zone-a";
-    std::string region = "vestland";
-};
-
 /// Real processes on loopback: stand-ins, an agent for each backend server
 /// and entries. All are ended with the object.
 class deployment final
 {
 public:
     /// Starts the stand-ins; agents and entries follow one by one.
+    explicit deployment(deployment_plan plan);
     deployment(std::vector<server_plan> servers, nlohmann::json pipelines,
                nlohmann::json customers);
     ~deployment();
@@ -39,8 +30,9 @@
     void start_entry(const std::string& name,
                      const std::vector<std::string>& overrides = {});
 
-    /// Starts every agent and one entry "entry-1", waits until it is ready.
-    void start_all();
+    /// Starts every agent and entry and waits until the entries see them all.
+    /// The overrides, "key=value", go to every entry.
+    void start_all(const std::vector<std::string>& overrides = {});
 
     /// Waits until the entry sees this many usable members.
     bool ready(const std::string& entry, std::size_t usable) const;
@@ -68,24 +60,30 @@
     /// Returns what the backend servers executed.
     nlohmann::json executions() const;
 
+    /// Returns the id of a process.
+    pid_t process_id(const std::string& name) const;
+
+    std::string backend_address(const std::string& server) const;
+    std::string admin_address(const std::string& name) const;
+    const deployment_plan& plan() const { return plan_; }
+
     std::string caller_address(const std::string& entry) const;
     nlohmann::json first_value() const;
 
 private:
-    std::string settings_text(const std::string& name,
-                              const server_plan* server) const;
+    std::string instance_text(const std::string& name, const std::string& zone,
+                              const std::string& region) const;
     void start(const std::string& program, const std::string& name,
                const std::string& settings,
                const std::vector<std::string>& overrides);
-    static std::uint16_t free_port();
+    std::uint16_t free_port() const;
     std::string address(const std::string& use) const;
 
     std::string folder_;
-    std::vector<server_plan> servers_;
-    nlohmann::json pipelines_;
-    nlohmann::json customers_;
+    deployment_plan plan_;
+    mutable std::uint16_t next_port_ = 0;
     mutable std::map<std::string, std::uint16_t> ports_;
     std::map<std::string, std::unique_ptr<child_process>> processes_;
 };
 
-} // namespace mangolink::test
+} // namespace mangolink::bench
--- /dev/null
+++ b/bench/lab/lab_main.cpp
@@ -0,0 +1,140 @@
+#include "lab/deployment.hpp"
+#include "process/stop_signal.hpp"
+
+#include <curl/curl.h>
+#include <getopt.h>
+
+#include <fstream>
+#include <iostream>
+
+namespace
+{
+
+using namespace mangolink;
+using namespace mangolink::bench;
+using nlohmann::json;
+
+constexpr const char* help =
+    "Usage: mangolink-lab --example FILE [options]\n"
+    "Runs an example deployment on loopback with stand-ins for everything\n"
+    "outside the system, until SIGTERM or SIGINT.\n\n"
+    "  --example FILE     description of the deployment, JSON\n"
+    "  --region NAME      only this region\n"
+    "  --logs FOLDER      where settings and logs are written\n"
+    "  --first-port N     ports are given out from here (20000)\n"
+    "  --set KEY=VALUE    setting of every entry; may be repeated\n"
+    "  --addresses FILE   write the entries' addresses there when ready\n"
+    "  --print            print the configuration and exit\n";
+
+struct lab_line final
+{
+    std::string example;
+    std::string region;
+    std::string logs;
+    std::string addresses;
+    std::uint16_t first_port = 20'000;
+    std::vector<std::string> overrides;
+    bool print = false;
+};
+
+json describe(const deployment& lab)
+{
+    json entries = json::array();
+    for (const auto& row : lab.plan().entries)
+    {
+        entries.push_back({{"name", row.name},
+                           {"callers", lab.caller_address(row.name)},
+                           {"admin", lab.admin_address(row.name)},
+                           {"process", lab.process_id(row.name)}});
+    }
+    json agents = json::array();
+    for (const auto& row : lab.plan().servers)
+    {
+        agents.push_back({{"name", row.name},
+                          {"backend", lab.backend_address(row.name)},
+                          {"admin", lab.admin_address(row.name)},
+                          {"process", lab.process_id(row.name)}});
+    }
+    return {{"entries", entries}, {"agents", agents}};
+}
+
+int run(const lab_line& line)
+{
+    std::ifstream input(line.example);
+    deployment_plan plan =
+        deployment_plan::expand(json::parse(input), line.region);
+    plan.first_port = line.first_port;
+    plan.log_folder = line.logs;
+    const stop_signal stop;
+    deployment lab(std::move(plan));
+    if (line.print)
+    {
+        std::cout << lab.first_value().dump(2) << "\n";
+        return 0;
+    }
+    lab.start_all(line.overrides);
+    const std::string text = describe(lab).dump(2);
+    std::cout << text << "\nready" << std::endl;
+    if (!line.addresses.empty())
+    {
+        std::ofstream(line.addresses) << text << "\n";
+    }
+    while (!stop.wait(std::chrono::seconds(60)))
+    {
+    }
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const option options[] = {
+        {"example", 1, nullptr, 'e'}, {"region", 1, nullptr, 'r'},
+        {"logs", 1, nullptr, 'l'},    {"first-port", 1, nullptr, 'p'},
+        {"set", 1, nullptr, 's'},     {"addresses", 1, nullptr, 'a'},
+        {"print", 0, nullptr, 'P'},   {"help", 0, nullptr, 'h'},
+        {nullptr, 0, nullptr, 0}};
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    lab_line line;
+    for (int found = 0;
+         (found = getopt_long(argc, argv, "h", options, nullptr)) != -1;)
+    {
+        switch (found)
+        {
+        case 'e':
+            line.example = optarg;
+            break;
+        case 'r':
+            line.region = optarg;
+            break;
+        case 'l':
+            line.logs = optarg;
+            break;
+        case 'p':
+            line.first_port = static_cast<std::uint16_t>(std::stoul(optarg));
+            break;
+        case 's':
+            line.overrides.emplace_back(optarg);
+            break;
+        case 'a':
+            line.addresses = optarg;
+            break;
+        case 'P':
+            line.print = true;
+            break;
+        default:
+            std::cout << help;
+            return found == 'h' ? 0 : 2;
+        }
+    }
+    try
+    {
+        return run(line);
+    }
+    catch (const std::exception& error)
+    {
+        std::cerr << "mangolink-lab: " << error.what() << "\n";
+        return 1;
+    }
+}
--- /dev/null
+++ b/bench/load/load_driver.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "load/load_plan.hpp"
+#include "load/load_sample.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mangolink::bench
+{
+
+/// Sends arrivals at their times without waiting for answers (open loop) and
+/// collects what became of them. Belongs to one thread.
+class load_driver final
+{
+public:
+    /// Sends every arrival whose index modulo `step` is `first`.
+    load_driver(const load_plan& plan, const std::vector<arrival>& arrivals,
+                std::size_t first, std::size_t step);
+    ~load_driver();
+
+    /// Runs to the end of the last answer; all drivers share the begin.
+    std::vector<load_sample> run(boot_clock::time_point begin);
+
+private:
+    class transfer;
+
+    void send(std::size_t index, boot_clock::time_point intended);
+    void collect();
+
+    const load_plan& plan_;
+    const std::vector<arrival>& arrivals_;
+    std::size_t next_;
+    std::size_t step_;
+    void* multi_;
+    std::vector<std::unique_ptr<transfer>> idle_;
+    std::vector<load_sample> samples_;
+    std::size_t active_ = 0;
+};
+
+} // namespace mangolink::bench
--- /dev/null
+++ b/bench/load/load_report.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "load/load_plan.hpp"
+#include "load/load_sample.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <vector>
+
+namespace mangolink::bench
+{
+
+/// Sums up a run: attainment in all, by customer and by class; latency, first
+/// token and gaps between tokens; outcomes and codes; cost by stage.
+nlohmann::json make_report(const load_plan& plan,
+                           const std::vector<load_sample>& samples);
+
+} // namespace mangolink::bench
--- /dev/null
+++ b/bench/load/load_sample.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "process/clock.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace mangolink::bench
+{
+
+/// What the answer said about one stage.
+struct stage_cost final
+{
+    std::string stage;
+    double service_ms = 0;
+    std::uint64_t recomputed_tokens = 0;
+    std::uint64_t cross_region_bytes = 0;
+};
+
+/// What became of one request.
+struct load_sample final
+{
+    std::uint32_t kind = 0;
+    std::string outcome; ///< as the answer said; empty: no answer
+    std::uint32_t code = 0;
+    microseconds latency{0};     ///< from the intended start
+    microseconds first_token{0}; ///< from the intended start; 0: none
+    std::uint32_t tokens = 0;
+    std::vector<float> gaps_ms; ///< between tokens
+    std::vector<stage_cost> stages;
+};
+
+} // namespace mangolink::bench
--- a/tests/integration/whole_path_test.cpp
+++ b/tests/integration/whole_path_test.cpp
@@ -1,4 +1,4 @@
-#include "support/deployment.hpp"
+#include "lab/deployment.hpp"
 #include "support/story.hpp"
 
 #include <nlohmann/json.hpp>
@@ -11,6 +11,7 @@
 {
 
 using nlohmann::json;
+using namespace mangolink::bench;
 
 json foundry_pipelines()
 {
