--- /dev/null
+++ b/bench/lab/process_usage.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "process/clock.hpp"
+
+#include <sys/types.h>
+
+#include <cstdint>
+
+namespace mangolink::bench
+{
+
+/// What a process has used so far.
+struct process_usage final
+{
+    microseconds processor{0};        ///< in all its threads
+    std::uint64_t resident_bytes = 0; ///< now
+
+    /// Reads /proc of a process; zeros when it is gone.
+    static process_usage of(pid_t process);
+};
+
+} // namespace mangolink::bench
--- a/bench/load/load_driver.cpp
+++ b/bench/load/load_driver.cpp
@@ -5,6 +5,9 @@
 #include <curl/curl.h>
 #include <nlohmann/json.hpp>
 
+#include <iterator>
+#include <thread>
+
 namespace mangolink::bench
 {
 namespace
@@ -268,4 +271,29 @@
     }
 }
 
+std::vector<load_sample> run_load(const load_plan& plan)
+{
+    constexpr milliseconds head_start{100};
+    const auto arrivals = make_arrivals(plan);
+    const auto begin = boot_clock::now() + head_start;
+    std::vector<std::vector<load_sample>> parts(plan.threads);
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < plan.threads; ++i)
+    {
+        threads.emplace_back(
+            [&, i]
+            {
+                load_driver driver(plan, arrivals, i, plan.threads);
+                parts[i] = driver.run(begin);
+            });
+    }
+    std::vector<load_sample> all;
+    for (std::size_t i = 0; i < plan.threads; ++i)
+    {
+        threads[i].join();
+        std::move(parts[i].begin(), parts[i].end(), std::back_inserter(all));
+    }
+    return all;
+}
+
 } // namespace mangolink::bench
--- a/bench/load/load_driver.hpp
+++ b/bench/load/load_driver.hpp
@@ -39,4 +39,7 @@
     std::size_t active_ = 0;
 };
 
+/// Runs a plan with its number of threads and returns all samples.
+std::vector<load_sample> run_load(const load_plan& plan);
+
 } // namespace mangolink::bench
--- a/bench/load/load_main.cpp
+++ b/bench/load/load_main.cpp
@@ -7,9 +7,7 @@
 
 #include <fstream>
 #include <iostream>
-#include <iterator>
 #include <sstream>
-#include <thread>
 
 namespace
 {
@@ -39,31 +37,6 @@
     return result;
 }
 
-std::vector<load_sample> run_all(const load_plan& plan)
-{
-    constexpr milliseconds head_start{100};
-    const auto arrivals = make_arrivals(plan);
-    const auto begin = boot_clock::now() + head_start;
-    std::vector<std::vector<load_sample>> parts(plan.threads);
-    std::vector<std::thread> threads;
-    for (std::size_t i = 0; i < plan.threads; ++i)
-    {
-        threads.emplace_back(
-            [&, i]
-            {
-                load_driver driver(plan, arrivals, i, plan.threads);
-                parts[i] = driver.run(begin);
-            });
-    }
-    std::vector<load_sample> all;
-    for (std::size_t i = 0; i < plan.threads; ++i)
-    {
-        threads[i].join();
-        std::move(parts[i].begin(), parts[i].end(), std::back_inserter(all));
-    }
-    return all;
-}
-
 } // namespace
 
 int main(int argc, char** argv)
@@ -137,7 +110,7 @@
         std::cerr << help;
         return 2;
     }
-    const auto report = make_report(given, run_all(given));
+    const auto report = make_report(given, run_load(given));
     std::cout << report.dump(2) << "\n";
     if (!report_path.empty())
     {
