Compare occupancy among near-equal servers; keep sends out of the wait

Cause: with equal servers the smoothed service time decided alone, so one of four agents got 54 percent of the calls; and the agent could send, and so lose a ZeroMQ signal, between its look for messages and its wait. Change: scores within a quarter of the best count as equal and the emptier server wins; backend_client::wait reports nothing any more, perform does. Ruled out for the p99 at 500/s: scheduling delay (perf sched: at most 0.62 ms), timer overshoot (p99 0.34 ms), the load tool (direct p99 4.3 ms). Slow requests come in clusters of 20 to 60 ms which coincide with time stolen by the host (steal column of /proc/stat).

--- a/bench/lab/process_usage.cpp
+++ b/bench/lab/process_usage.cpp
@@ -48,4 +48,18 @@
     return result;
 }
 
+milliseconds stolen_time()
+{
+    constexpr int stolen_column = 8;
+    std::ifstream input("/proc/stat");
+    std::string name;
+    std::int64_t ticks = 0;
+    input >> name;
+    for (int i = 0; i < stolen_column; ++i)
+    {
+        input >> ticks;
+    }
+    return milliseconds(ticks * 1000 / sysconf(_SC_CLK_TCK));
+}
+
 } // namespace mangolink::bench
--- a/bench/lab/process_usage.hpp
+++ b/bench/lab/process_usage.hpp
@@ -19,4 +19,8 @@
     static process_usage of(pid_t process);
 };
 
+/// Returns the time that the host withheld from this machine's processors
+/// since it was started, summed over them.
+milliseconds stolen_time();
+
 } // namespace mangolink::bench
--- a/bench/load/load_driver.cpp
+++ b/bench/load/load_driver.cpp
@@ -36,7 +36,8 @@
         const auto prompt = row.value("prompt_tokens", std::uint64_t(0));
         const auto cached = row.value("cached_tokens", std::uint64_t(0));
         sample.stages.push_back(
-            {row.value("stage", ""), row.value("service_ms", 0.0),
+            {row.value("stage", ""), row.value("elapsed_ms", 0.0),
+             row.value("queued_ms", 0.0), row.value("service_ms", 0.0),
              prompt - std::min(prompt, cached),
              row.value("cross_region_bytes", std::uint64_t(0))});
     }
@@ -102,9 +103,10 @@
             static_cast<long>((wanted.deadline + answer_grace).count()));
     }
 
-    load_sample take(boot_clock::time_point now)
+    load_sample take(boot_clock::time_point begin, boot_clock::time_point now)
     {
         sample_.kind = kind;
+        sample_.start = between(begin, intended_);
         sample_.latency = between(intended_, now);
         if (!answer_.empty())
         {
@@ -204,6 +206,7 @@
 
 std::vector<load_sample> load_driver::run(boot_clock::time_point begin)
 {
+    begin_ = begin;
     while (next_ < arrivals_.size() || active_ > 0)
     {
         const auto now = boot_clock::now();
@@ -265,7 +268,7 @@
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &found);
         std::unique_ptr<transfer> row(static_cast<transfer*>(found));
         curl_multi_remove_handle(multi_, row->easy());
-        samples_.push_back(row->take(boot_clock::now()));
+        samples_.push_back(row->take(begin_, boot_clock::now()));
         idle_.push_back(std::move(row));
         --active_;
     }
--- a/bench/load/load_driver.hpp
+++ b/bench/load/load_driver.hpp
@@ -37,6 +37,7 @@
     std::vector<std::unique_ptr<transfer>> idle_;
     std::vector<load_sample> samples_;
     std::size_t active_ = 0;
+    boot_clock::time_point begin_;
 };
 
 /// Runs a plan with its number of threads and returns all samples.
--- a/bench/load/load_main.cpp
+++ b/bench/load/load_main.cpp
@@ -24,7 +24,8 @@
     "  --seconds S       length of the run (10)\n"
     "  --seed N          seed of the arrivals (1)\n"
     "  --threads N       sending threads (1)\n"
-    "  --output FILE     write the report there too\n";
+    "  --output FILE     write the report there too\n"
+    "  --samples FILE    write a line per request there\n";
 
 std::vector<std::string> split(const std::string& list)
 {
@@ -49,19 +50,21 @@
         seconds_flag,
         seed,
         threads,
-        output
+        output,
+        samples_flag
     };
     const option options[] = {
         {"plan", 1, nullptr, plan_file}, {"targets", 1, nullptr, targets},
         {"rate", 1, nullptr, rate},      {"seconds", 1, nullptr, seconds_flag},
         {"seed", 1, nullptr, seed},      {"threads", 1, nullptr, threads},
-        {"output", 1, nullptr, output},  {"help", 0, nullptr, 'h'},
-        {nullptr, 0, nullptr, 0}};
+        {"output", 1, nullptr, output},  {"samples", 1, nullptr, samples_flag},
+        {"help", 0, nullptr, 'h'},       {nullptr, 0, nullptr, 0}};
     curl_global_init(CURL_GLOBAL_DEFAULT);
     load_plan plan;
     load_plan given;
     std::string path;
     std::string report_path;
+    std::string samples_path;
     for (int found = 0;
          (found = getopt_long(argc, argv, "h", options, nullptr)) != -1;)
     {
@@ -88,6 +91,9 @@
         case output:
             report_path = optarg;
             break;
+        case samples_flag:
+            samples_path = optarg;
+            break;
         default:
             std::cout << help;
             return found == 'h' ? 0 : 2;
@@ -110,11 +116,16 @@
         std::cerr << help;
         return 2;
     }
-    const auto report = make_report(given, run_load(given));
+    const auto samples = run_load(given);
+    const auto report = make_report(given, samples);
     std::cout << report.dump(2) << "\n";
     if (!report_path.empty())
     {
         std::ofstream(report_path) << report.dump(2) << "\n";
     }
+    if (!samples_path.empty())
+    {
+        std::ofstream(samples_path) << sample_lines(given, samples);
+    }
     return 0;
 }
--- a/bench/load/load_report.cpp
+++ b/bench/load/load_report.cpp
@@ -1,5 +1,6 @@
 #include "load/load_report.hpp"
 
+#include <absl/strings/str_format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -26,6 +27,27 @@
     }
 };
 
+json quantiles(std::vector<double> values);
+
+/// Where the time of complete requests went.
+struct parts_of_latency final
+{
+    std::vector<double> to_entry; ///< what the entry did not see
+    std::vector<double> to_agent; ///< seen by the entry, not by the agent
+    std::vector<double> queued;
+    std::vector<double> service;
+
+    void add(const load_sample& row);
+
+    json text() const
+    {
+        return {{"outside_entry", quantiles(to_entry)},
+                {"between_entry_and_agent", quantiles(to_agent)},
+                {"queued", quantiles(queued)},
+                {"service", quantiles(service)}};
+    }
+};
+
 json quantiles(std::vector<double> values)
 {
     if (values.empty())
@@ -51,6 +73,28 @@
     return static_cast<double>(value.count()) / 1000.0;
 }
 
+/// Returns the times of all stages together.
+stage_cost total_of(const load_sample& row)
+{
+    stage_cost sum;
+    for (const auto& stage : row.stages)
+    {
+        sum.elapsed_ms += stage.elapsed_ms;
+        sum.queued_ms += stage.queued_ms;
+        sum.service_ms += stage.service_ms;
+    }
+    return sum;
+}
+
+void parts_of_latency::add(const load_sample& row)
+{
+    const stage_cost sum = total_of(row);
+    to_entry.push_back(to_ms(row.latency) - sum.elapsed_ms);
+    to_agent.push_back(sum.elapsed_ms - sum.queued_ms - sum.service_ms);
+    queued.push_back(sum.queued_ms);
+    service.push_back(sum.service_ms);
+}
+
 } // namespace
 
 json make_report(const load_plan& plan, const std::vector<load_sample>& samples)
@@ -65,6 +109,7 @@
     std::vector<double> refusals;
     std::vector<double> first;
     std::vector<double> gaps;
+    parts_of_latency parts;
     std::uint64_t tokens = 0;
     for (const auto& row : samples)
     {
@@ -83,6 +128,7 @@
         if (complete)
         {
             latency.push_back(to_ms(row.latency));
+            parts.add(row);
         }
         else if (row.outcome == "not_run")
         {
@@ -109,6 +155,7 @@
                 {"codes", codes},
                 {"tokens", tokens},
                 {"latency_ms", quantiles(std::move(latency))},
+                {"latency_parts_ms", parts.text()},
                 {"refusal_ms", quantiles(std::move(refusals))},
                 {"first_token_ms", quantiles(std::move(first))},
                 {"token_gap_ms", quantiles(std::move(gaps))}};
@@ -130,4 +177,22 @@
     return report;
 }
 
+std::string sample_lines(const load_plan& plan,
+                         const std::vector<load_sample>& samples)
+{
+    std::string text =
+        "start_ms class outcome latency_ms entry_ms queued_ms service_ms "
+        "first_token_ms\n";
+    for (const auto& row : samples)
+    {
+        const stage_cost sum = total_of(row);
+        absl::StrAppendFormat(&text, "%.3f %s %s %.3f %.3f %.3f %.3f %.3f\n",
+                              to_ms(row.start), plan.classes[row.kind].name,
+                              row.outcome.empty() ? "no_answer" : row.outcome,
+                              to_ms(row.latency), sum.elapsed_ms, sum.queued_ms,
+                              sum.service_ms, to_ms(row.first_token));
+    }
+    return text;
+}
+
 } // namespace mangolink::bench
--- a/bench/load/load_report.hpp
+++ b/bench/load/load_report.hpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <string>
 #include <vector>
 
 namespace mangolink::bench
@@ -15,4 +16,9 @@
 nlohmann::json make_report(const load_plan& plan,
                            const std::vector<load_sample>& samples);
 
+/// Returns one line per request: start, class, outcome, latency, time seen by
+/// the entry, queued, service and first token, in milliseconds.
+std::string sample_lines(const load_plan& plan,
+                         const std::vector<load_sample>& samples);
+
 } // namespace mangolink::bench
--- a/bench/load/load_sample.hpp
+++ b/bench/load/load_sample.hpp
@@ -13,7 +13,9 @@
 struct stage_cost final
 {
     std::string stage;
-    double service_ms = 0;
+    double elapsed_ms = 0; ///< seen by the entry
+    double queued_ms = 0;  ///< at the agent
+    double service_ms = 0; ///< at the backend server
     std::uint64_t recomputed_tokens = 0;
     std::uint64_t cross_region_bytes = 0;
 };
@@ -24,6 +26,7 @@
     std::uint32_t kind = 0;
     std::string outcome; ///< as the answer said; empty: no answer
     std::uint32_t code = 0;
+    microseconds start{0};       ///< intended, after the begin of the run
     microseconds latency{0};     ///< from the intended start
     microseconds first_token{0}; ///< from the intended start; 0: none
     std::uint32_t tokens = 0;
--- a/bench/overhead/overhead_main.cpp
+++ b/bench/overhead/overhead_main.cpp
@@ -32,6 +32,7 @@
     double entry_cores = 0;
     double entry_megabytes = 0; ///< the most seen
     double tokens_per_second = 0;
+    milliseconds stolen{0}; ///< by the host, from all processors
 };
 
 json pipelines()
@@ -82,6 +83,7 @@
     measured result;
     std::atomic<bool> done{false};
     const auto before = process_usage::of(lab.process_id(entry));
+    const auto stolen_before = stolen_time();
     const auto begin = boot_clock::now();
     std::thread watch(
         [&]
@@ -98,6 +100,7 @@
     const auto samples = run_load(plan);
     const std::chrono::duration<double> wall = boot_clock::now() - begin;
     const auto after = process_usage::of(lab.process_id(entry));
+    result.stolen = stolen_time() - stolen_before;
     done = true;
     watch.join();
     result.report = make_report(plan, samples);
@@ -137,15 +140,16 @@
     }
     std::cout << absl::StrFormat(
         "%-28s share %.4f  p50 %7.2f ms  p99 %7.2f ms  entry %.2f cores "
-        "%5.1f MB  %6.0f tokens/s\n",
+        "%5.1f MB  %6.0f tokens/s  %d ms stolen\n",
         name, row.report["attainment"]["share"].get<double>(),
         latency["p50"].get<double>(), latency["p99"].get<double>(),
-        row.entry_cores, row.entry_megabytes, row.tokens_per_second);
+        row.entry_cores, row.entry_megabytes, row.tokens_per_second,
+        row.stolen.count());
 }
 
-load_plan direct_plan(const deployment& lab)
+load_plan direct_plan(const deployment& lab, double rate)
 {
-    load_plan plan = short_plan(500, "/v1/embeddings");
+    load_plan plan = short_plan(rate, "/v1/embeddings");
     for (int i = 1; i <= encoder_count; ++i)
     {
         plan.targets.push_back(lab.backend_address("enc-" + std::to_string(i)));
@@ -169,9 +173,10 @@
     warm.length = std::chrono::seconds(2);
     run_load(warm);
 
-    print("direct, 500/s", run(lab, direct_plan(lab)));
     for (const double rate : {500.0, 1500.0, 3000.0, 4500.0})
     {
+        print(absl::StrFormat("direct, %.0f/s", rate),
+              run(lab, direct_plan(lab, rate)));
         load_plan plan = short_plan(rate, path);
         plan.targets = {caller};
         print(absl::StrFormat("entry and agent, %.0f/s", rate), run(lab, plan));
--- a/src/connection/agent_server.cpp
+++ b/src/connection/agent_server.cpp
@@ -102,15 +102,16 @@
 {
     while (!stopping_)
     {
-        // The router's descriptor signals changes only, so nothing may be
-        // left unread before the wait.
+        commands_.run_all();
         const bool busy = receive_all();
+        backend_.perform();
         core_.on_time(time_now());
         publish_state();
+        // The router's descriptor signals changes only, and a send takes a
+        // signal away: nothing may be sent between this look and the wait.
+        const bool idle = !busy && !router_.readable();
         backend_.wait(router_.descriptor(), commands_.descriptor(),
-                      busy || router_.readable() ? milliseconds(0)
-                                                 : longest_wait);
-        commands_.run_all();
+                      idle ? longest_wait : milliseconds(0));
     }
 }
 
--- a/src/connection/backend_client.cpp
+++ b/src/connection/backend_client.cpp
@@ -225,6 +225,13 @@
     transfers_.erase(id);
 }
 
+void backend_client::perform()
+{
+    int running = 0;
+    curl_multi_perform(multi_, &running);
+    report_ended();
+}
+
 void backend_client::wait(int first_descriptor, int second_descriptor,
                           milliseconds limit)
 {
@@ -233,13 +240,8 @@
     extra[0].events = CURL_WAIT_POLLIN;
     extra[1].fd = second_descriptor;
     extra[1].events = CURL_WAIT_POLLIN;
-    int running = 0;
-    curl_multi_perform(multi_, &running);
-    report_ended();
     curl_multi_poll(multi_, extra.data(), extra.size(),
                     static_cast<int>(limit.count()), nullptr);
-    curl_multi_perform(multi_, &running);
-    report_ended();
 }
 
 void backend_client::report_ended()
--- a/src/connection/backend_client.hpp
+++ b/src/connection/backend_client.hpp
@@ -22,7 +22,7 @@
     std::size_t max_answer = 2 * 1024 * 1024; ///< bytes
 };
 
-/// What the client reports while it waits.
+/// What the client reports from perform().
 struct backend_client_events final
 {
     /// Text of a streamed answer and the number of its tokens.
@@ -47,14 +47,18 @@
     backend_client(const backend_client&) = delete;
     backend_client& operator=(const backend_client&) = delete;
 
-    /// Starts a call. Its events come from wait().
+    /// Starts a call. Its events come from perform().
     void start(const backend_call& call);
 
     /// Stops a call; no event of it follows.
     void cancel(call_id id);
 
-    /// Waits until a call moves on, one of the descriptors is readable or the
-    /// time is over, and reports what happened.
+    /// Moves all calls on and reports what happened.
+    void perform();
+
+    /// Waits until a call can move on, one of the descriptors is readable or
+    /// the time is over. Reports nothing, so that the owner can look at its
+    /// descriptors, call this, and miss no signal in between.
     void wait(int first_descriptor, int second_descriptor, milliseconds limit);
 
 private:
--- a/src/process/member.hpp
+++ b/src/process/member.hpp
@@ -52,10 +52,18 @@
 
     /// Work this entry sent that the last load report does not contain.
     microseconds unreported_work{0};
+    std::uint32_t unreported = 0;  ///< attempts that the report lacks
     std::uint32_t outstanding = 0; ///< attempts of this entry without an end
 
     std::uint32_t failures_in_row = 0;
     boot_clock::time_point ejected_until;
+
+    /// Returns calls per allowed call: 1 when the backend server is full.
+    double occupancy() const
+    {
+        const auto calls = load.running + load.queued + unreported;
+        return static_cast<double>(calls) / static_cast<double>(load.limit);
+    }
 };
 
 } // namespace mangolink
--- a/src/process/member_table.cpp
+++ b/src/process/member_table.cpp
@@ -114,6 +114,7 @@
     row->state = agent_state::starting;
     row->load = {};
     row->unreported_work = {};
+    row->unreported = 0;
     row->failures_in_row = 0;
     row->ejected_until = {};
     return replaced;
@@ -135,6 +136,7 @@
     row->load.first_byte = from_wire(load.first_byte_us());
     row->load_time = now;
     row->unreported_work = {};
+    row->unreported = 0;
     if (row->state != agent_state::leaving)
     {
         row->state = load.state() == 1   ? agent_state::ready
@@ -156,6 +158,7 @@
     if (member* row = find(id))
     {
         ++row->outstanding;
+        ++row->unreported;
         row->unreported_work += expected_work;
     }
 }
--- a/src/request/backend_selector.cpp
+++ b/src/request/backend_selector.cpp
@@ -10,6 +10,13 @@
 
 namespace mangolink
 {
+namespace
+{
+
+/// Scores within a quarter of the best count as equal; occupancy decides.
+constexpr std::int64_t tolerance_divisor = 4;
+
+} // namespace
 
 struct backend_selector::policy_row final
 {
@@ -92,32 +99,44 @@
 std::optional<scored_member>
 backend_selector::choose_expected_wait(std::span<const member_id> usable)
 {
-    // Small pools are compared whole; sampling only helps large ones.
-    const std::size_t samples = settings_.choices * 3;
-    std::optional<scored_member> best;
-    const auto consider = [&](member_id id)
+    sample(usable);
+    const auto best =
+        std::min_element(samples_.begin(), samples_.end(),
+                         [](const scored_member& a, const scored_member& b)
+                         { return a.score < b.score; });
+    const distance where = members_.find(best->id)->where;
+    const auto limit = best->score + best->score / tolerance_divisor;
+    const scored_member* chosen = &*best;
+    double least = members_.find(best->id)->occupancy();
+    for (const auto& candidate : samples_)
     {
-        const scored_member candidate = score(id);
-        if (!best || candidate.score < best->score)
+        const member& row = *members_.find(candidate.id);
+        const bool near = row.where == where && candidate.score <= limit;
+        if (near && row.occupancy() < least)
         {
-            best = candidate;
+            least = row.occupancy();
+            chosen = &candidate;
         }
-    };
-    if (usable.size() <= samples)
-    {
-        const std::size_t first =
-            absl::Uniform<std::size_t>(random_, 0, usable.size());
-        for (std::size_t i = 0; i < usable.size(); ++i)
-        {
-            consider(usable[(first + i) % usable.size()]);
-        }
-        return best;
     }
-    for (std::size_t i = 0; i < samples; ++i)
+    return *chosen;
+}
+
+void backend_selector::sample(std::span<const member_id> usable)
+{
+    // Small pools are compared whole; sampling only helps large ones.
+    const std::size_t wanted = std::size_t{3} * settings_.choices;
+    const bool whole = usable.size() <= wanted;
+    const std::size_t count = whole ? usable.size() : wanted;
+    const std::size_t first =
+        absl::Uniform<std::size_t>(random_, 0, usable.size());
+    samples_.clear();
+    for (std::size_t i = 0; i < count; ++i)
     {
-        consider(usable[absl::Uniform<std::size_t>(random_, 0, usable.size())]);
+        const std::size_t index =
+            whole ? (first + i) % usable.size()
+                  : absl::Uniform<std::size_t>(random_, 0, usable.size());
+        samples_.push_back(score(usable[index]));
     }
-    return best;
 }
 
 std::optional<scored_member>
--- a/src/request/backend_selector.hpp
+++ b/src/request/backend_selector.hpp
@@ -68,6 +68,8 @@
     std::optional<scored_member>
     choose_least_requests(std::span<const member_id> usable);
 
+    /// Fills samples_ with scored candidates.
+    void sample(std::span<const member_id> usable);
     scored_member score(member_id id) const;
 
     backend_selector_settings settings_;
@@ -76,6 +78,7 @@
     policy_member policy_;
     std::uint64_t turn_ = 0;
     std::vector<member_id> usable_; ///< kept to avoid allocation
+    std::vector<scored_member> samples_;
 };
 
 } // namespace mangolink
--- /dev/null
+++ b/tests/unit/backend_client_test.cpp
@@ -0,0 +1,53 @@
+#include "connection/backend_client.hpp"
+#include "support/story.hpp"
+
+namespace mangolink::test
+{
+
+class backend_client_test final : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(backend_client_test);
+    CPPUNIT_TEST(waiting_reports_nothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void waiting_reports_nothing()
+    {
+        int ended = 0;
+        backend_answer last;
+        backend_client client({.base_url = "http://127.0.0.1:1"},
+                              {[](call_id, std::string, std::uint32_t) {},
+                               [&](call_id, backend_answer answer)
+                               {
+                                   ++ended;
+                                   last = std::move(answer);
+                               }});
+        backend_call call;
+        call.id = static_cast<call_id>(1);
+        call.time_limit = milliseconds(5000);
+        client.start(call);
+        section("a call that ends at once is not reported by wait",
+                [&]
+                {
+                    for (int i = 0; i < 20; ++i)
+                    {
+                        client.wait(-1, -1, milliseconds(1));
+                    }
+                    CPPUNIT_ASSERT_EQUAL(0, ended);
+                });
+        section("perform reports it, with the proof that nothing was sent",
+                [&]
+                {
+                    while (ended == 0)
+                    {
+                        client.perform();
+                        client.wait(-1, -1, milliseconds(1));
+                    }
+                    CPPUNIT_ASSERT(!last.handed_over);
+                });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(backend_client_test);
+
+} // namespace mangolink::test
