--- a/bench/overhead/overhead_main.cpp
+++ b/bench/overhead/overhead_main.cpp
@@ -21,7 +21,6 @@
 constexpr const char* entry = "entry-1";
 constexpr int encoder_count = 4;
 constexpr int engine_count = 8;
-constexpr int stream_count = 1000;
 constexpr std::uint32_t stream_tokens = 900;
 constexpr double megabyte = 1024.0 * 1024.0;
 
@@ -112,8 +111,8 @@
     return result;
 }
 
-/// Opens all streams within one second and holds them.
-load_plan stream_plan()
+/// Opens this many streams within one second and holds them.
+load_plan stream_plan(int streams)
 {
     load_plan plan;
     request_class kind;
@@ -124,7 +123,7 @@
     kind.max_tokens = stream_tokens;
     kind.streamed = true;
     plan.classes.push_back(kind);
-    plan.rate = stream_count;
+    plan.rate = streams;
     plan.length = std::chrono::seconds(1);
     plan.threads = 3;
     return plan;
@@ -181,8 +180,11 @@
         plan.targets = {caller};
         print(absl::StrFormat("entry and agent, %.0f/s", rate), run(lab, plan));
     }
-    load_plan streams = stream_plan();
-    streams.targets = {caller};
-    print("1000 open streams", run(lab, streams));
+    for (const int count : {250, 500, 1000})
+    {
+        load_plan streams = stream_plan(count);
+        streams.targets = {caller};
+        print(absl::StrFormat("%d open streams", count), run(lab, streams));
+    }
     return 0;
 }
--- a/src/connection/agent_server.cpp
+++ b/src/connection/agent_server.cpp
@@ -43,6 +43,10 @@
                     core_.on_call_ended(id, std::move(answer), time_now());
                 }})
 {
+    metrics_.gauge("mangolink_peer_sent_bytes", [this]
+                   { return static_cast<double>(router_.sent_bytes()); });
+    metrics_.gauge("mangolink_peer_received_bytes", [this]
+                   { return static_cast<double>(router_.received_bytes()); });
     metrics_.gauge("mangolink_calls_running",
                    [this] { return static_cast<double>(running_); });
     metrics_.gauge("mangolink_calls_queued",
--- a/src/connection/entry_server.cpp
+++ b/src/connection/entry_server.cpp
@@ -46,6 +46,10 @@
       store_(trail_), core_(settings_.core, own_, store_, random_, *this),
       api_({settings_.max_deadline}), router_({.route = own_.text()})
 {
+    metrics_.gauge("mangolink_peer_sent_bytes", [this]
+                   { return static_cast<double>(router_.sent_bytes()); });
+    metrics_.gauge("mangolink_peer_received_bytes", [this]
+                   { return static_cast<double>(router_.received_bytes()); });
     metrics_.gauge("mangolink_requests_in_flight",
                    [this] { return static_cast<double>(in_flight_); });
     metrics_.gauge("mangolink_configuration_number", [this]
--- a/src/connection/peer_router.cpp
+++ b/src/connection/peer_router.cpp
@@ -102,6 +102,7 @@
     {
         return false;
     }
+    sent_bytes_.fetch_add(bytes.size(), std::memory_order_relaxed);
     return zmq_send(socket_, bytes.data(), bytes.size(), ZMQ_DONTWAIT) >= 0;
 }
 
@@ -131,6 +132,7 @@
         message.bytes.clear(); // not one of ours; it parses as nothing
     }
     zmq_msg_close(&part);
+    received_bytes_.fetch_add(message.bytes.size(), std::memory_order_relaxed);
     return message;
 }
 
--- a/src/connection/peer_router.hpp
+++ b/src/connection/peer_router.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -64,9 +65,16 @@
     int descriptor() const;
     bool readable() const;
 
+    /// Return the bytes of messages and routes handed over and received so
+    /// far, without the framing of the transport. Any thread.
+    std::uint64_t sent_bytes() const { return sent_bytes_; }
+    std::uint64_t received_bytes() const { return received_bytes_; }
+
 private:
     void* context_ = nullptr;
     void* socket_ = nullptr;
+    std::atomic<std::uint64_t> sent_bytes_{0};
+    std::atomic<std::uint64_t> received_bytes_{0};
 };
 
 } // namespace mangolink
