--- a/src/connection/peer_router.cpp
+++ b/src/connection/peer_router.cpp
@@ -11,8 +11,8 @@
 
 constexpr int reconnect_first_ms = 50;
 constexpr int reconnect_most_ms = 1000;
-constexpr int connection_heartbeat_ms = 2000;
-constexpr int connection_timeout_ms = 6000;
+constexpr int connection_heartbeat_ms = 10'000;
+constexpr int connection_timeout_ms = 30'000;
 
 [[noreturn]] void fail(const std::string& what)
 {
--- a/src/process/entry_core.hpp
+++ b/src/process/entry_core.hpp
@@ -28,7 +28,7 @@
     member_table_settings members;
     backend_selector_settings selector;
     run_executor_settings executor;
-    milliseconds heartbeat_interval{1000};
+    milliseconds heartbeat_interval{2000};
     double retry_share = 0.1;    ///< retries per success
     double retry_reserve = 50.0; ///< retries allowed at once
 };
--- a/src/process/member_table.hpp
+++ b/src/process/member_table.hpp
@@ -27,7 +27,7 @@
     std::string zone;
     std::string region;
     std::uint32_t subset_size = 24;   ///< agents of one pool
-    milliseconds silence_limit{3000}; ///< without a message: suspect
+    milliseconds silence_limit{5000}; ///< without a message: suspect
     std::uint32_t ejection_failures = 5;
     milliseconds ejection_time{5000};
     double most_ejected = 0.5; ///< share of a pool
