--- /dev/null
+++ b/bench/faultproxy/proxy_flow.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "faultproxy/fault_rules.hpp"
+#include "process/clock.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <string>
+
+namespace mangolink::bench
+{
+
+/// One direction of a connection: bytes wait for their time, then go out.
+class proxy_flow final
+{
+public:
+    proxy_flow(int from, int to) : from_(from), to_(to) {}
+
+    /// Reads what is there. False when the sending side has closed or failed.
+    bool read(const fault_rule& rule, bool hold, milliseconds jitter,
+              boot_clock::time_point now);
+
+    /// Sends what is due. False when the receiving side has failed.
+    bool write(boot_clock::time_point now);
+
+    /// Returns when the next bytes are due, or the maximum.
+    boot_clock::time_point next_time() const;
+
+    /// Returns whether all was passed on after the sending side closed.
+    bool finished() const { return closed_ && waiting_.empty(); }
+
+    /// Returns whether more may be read now.
+    bool accepting() const { return !closed_ && waiting_bytes_ < most_waiting; }
+
+    std::uint64_t passed_bytes() const { return passed_; }
+
+private:
+    static constexpr std::size_t most_waiting = 4 * 1024 * 1024;
+
+    struct piece final
+    {
+        boot_clock::time_point due;
+        std::string bytes;
+    };
+
+    void add(std::string bytes, const fault_rule& rule, milliseconds jitter,
+             boot_clock::time_point now);
+
+    int from_;
+    int to_;
+    std::deque<piece> waiting_;
+    std::size_t waiting_bytes_ = 0;
+    boot_clock::time_point last_due_;
+    bool closed_ = false;
+    std::uint64_t passed_ = 0;
+};
+
+} // namespace mangolink::bench
--- a/bench/lab/deployment.cpp
+++ b/bench/lab/deployment.cpp
@@ -83,6 +83,10 @@
     {
         throw std::runtime_error("stand-ins did not start");
     }
+    if (plan_.proxied)
+    {
+        start_proxy();
+    }
 }
 
 deployment::~deployment()
@@ -105,7 +109,8 @@
             start("mangolink-agent", server,
                   instance_text(server, row.zone, row.region) +
                       "[agent]\nlisten = \"" + address("agent " + server) +
-                      "\"\nbackend_address = \"" + backend_address(server) +
+                      "\"\nbackend_address = \"" +
+                      linked_address("backend " + server) +
                       "\"\nbackend_server = \"" + server +
                       "\"\nlimit = " + std::to_string(row.limit) + "\n",
                   overrides);
@@ -173,8 +178,8 @@
         headers.insert(headers.begin(), {"Mangolink-Customer", "caster"});
     }
     return call("POST",
-                "http://" + caller_address(entry) + "/v1/pipelines/" +
-                    pipeline + "/requests",
+                "http://" + linked_address("callers " + entry) +
+                    "/v1/pipelines/" + pipeline + "/requests",
                 std::move(headers), body);
 }
 
@@ -202,6 +207,16 @@
                 "http://" + address("platform") + path, {}, body);
 }
 
+void deployment::faults(const json& rules) const
+{
+    const auto result = call("POST", "http://" + address("control") + "/rules",
+                             {}, rules.dump());
+    if (result.status != 200)
+    {
+        throw std::runtime_error("rules: " + result.body + result.error);
+    }
+}
+
 json deployment::executions() const
 {
     const auto result =
@@ -242,7 +257,7 @@
             {"pool", row.pool},
             {"zone", row.zone},
             {"region", row.region},
-            {"agent", address("agent " + row.name)}};
+            {"agent", linked_address("agent " + row.name)}};
     }
     return value;
 }
@@ -308,4 +323,41 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
+std::string deployment::linked_address(const std::string& use) const
+{
+    return address(plan_.proxied ? "proxy " + use : use);
+}
+
+void deployment::start_proxy()
+{
+    json plan{{"control", address("control")}, {"routes", json::array()}};
+    std::vector<std::string> uses{"platform"};
+    for (const auto& row : plan_.servers)
+    {
+        uses.push_back("agent " + row.name);
+        uses.push_back("backend " + row.name);
+    }
+    for (const auto& row : plan_.entries)
+    {
+        uses.push_back("callers " + row.name);
+    }
+    for (const auto& use : uses)
+    {
+        plan["routes"].push_back({{"name", use},
+                                  {"listen", linked_address(use)},
+                                  {"to", address(use)}});
+    }
+    const std::string path = folder_ + "/proxy.json";
+    write_file(path, plan.dump());
+    processes_["proxy"] = std::make_unique<child_process>(
+        std::vector<std::string>{BENCH_DIRECTORY "/mangolink-faultproxy",
+                                 "--plan", path},
+        folder_ + "/proxy.log");
+    const std::string url = "http://" + address("control") + "/traffic";
+    if (!wait_until([&] { return call("GET", url, {}, {}).status == 200; }))
+    {
+        throw std::runtime_error("fault proxy did not start");
+    }
+}
+
 } // namespace mangolink::bench
--- a/bench/lab/deployment.hpp
+++ b/bench/lab/deployment.hpp
@@ -57,6 +57,11 @@
     http_result platform(const std::string& path,
                          const std::string& body = {}) const;
 
+    /// Replaces the rules of the fault proxy. Its routes are "agent NAME"
+    /// (entries to an agent), "backend NAME" (agent to its backend server),
+    /// "callers NAME" and "platform".
+    void faults(const nlohmann::json& rules) const;
+
     /// Returns what the backend servers executed.
     nlohmann::json executions() const;
 
@@ -78,6 +83,8 @@
                const std::vector<std::string>& overrides);
     std::uint16_t free_port() const;
     std::string address(const std::string& use) const;
+    std::string linked_address(const std::string& use) const;
+    void start_proxy();
 
     std::string folder_;
     deployment_plan plan_;
--- a/bench/lab/deployment_plan.hpp
+++ b/bench/lab/deployment_plan.hpp
@@ -38,6 +38,7 @@
     nlohmann::json pipelines;
     nlohmann::json customers;
     std::uint16_t first_port = 0; ///< 0: any free ports
+    bool proxied = false;         ///< every link goes through the fault proxy
     std::string log_folder{};     ///< empty: a temporary folder
 
     /// Expands an example: zones by region, pools with their number of
--- a/bench/load/load_main.cpp
+++ b/bench/load/load_main.cpp
@@ -59,16 +59,12 @@
     samples_flag
 };
 
-const option options[] = {{"plan", 1, nullptr, plan_file},
-                          {"targets", 1, nullptr, targets},
-                          {"rate", 1, nullptr, rate},
-                          {"seconds", 1, nullptr, seconds_flag},
-                          {"seed", 1, nullptr, seed},
-                          {"threads", 1, nullptr, threads},
-                          {"output", 1, nullptr, output},
-                          {"samples", 1, nullptr, samples_flag},
-                          {"help", 0, nullptr, 'h'},
-                          {nullptr, 0, nullptr, 0}};
+const option options[] = {
+    {"plan", 1, nullptr, plan_file}, {"targets", 1, nullptr, targets},
+    {"rate", 1, nullptr, rate},      {"seconds", 1, nullptr, seconds_flag},
+    {"seed", 1, nullptr, seed},      {"threads", 1, nullptr, threads},
+    {"output", 1, nullptr, output},  {"samples", 1, nullptr, samples_flag},
+    {"help", 0, nullptr, 'h'},       {nullptr, 0, nullptr, 0}};
 
 /// Takes one flag; false when it is not known or asks for help.
 bool take_flag(int found, const char* value, load_line& line)
--- /dev/null
+++ b/src/connection/connection_watch.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "process/clock.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <mutex>
+#include <thread>
+
+struct MHD_Connection;
+
+namespace mangolink
+{
+
+/// Ends connections whose request takes too long to arrive, however steadily
+/// its bytes trickle in. The caller is told with status 408 and code 1112.
+///
+/// Any thread may call any member.
+class connection_watch final
+{
+public:
+    /// A request may take `read_limit` to arrive, zero: any time; a connection
+    /// may be idle between requests for `idle_limit`.
+    connection_watch(milliseconds read_limit, milliseconds idle_limit);
+    ~connection_watch();
+
+    connection_watch(const connection_watch&) = delete;
+    connection_watch& operator=(const connection_watch&) = delete;
+
+    /// Follow a connection from its acceptance to its end.
+    void opened(const MHD_Connection* connection, int descriptor);
+    void receiving(const MHD_Connection* connection);
+    void answered(const MHD_Connection* connection);
+    void closed(const MHD_Connection* connection);
+
+    /// Marks a request as whole; false when it was refused before.
+    bool received(const MHD_Connection* connection);
+
+private:
+    enum class phase : std::uint8_t
+    {
+        receiving,
+        answering,
+        idle,
+        refused
+    };
+
+    struct row final
+    {
+        int descriptor = -1;
+        phase state = phase::receiving;
+        boot_clock::time_point since;
+    };
+
+    void set(const MHD_Connection* connection, phase state);
+    void sweep();
+    void run();
+
+    milliseconds read_limit_;
+    milliseconds idle_limit_;
+    std::mutex mutex_;
+    absl::flat_hash_map<const MHD_Connection*, row> rows_;
+    bool stopping_ = false;
+    std::thread thread_;
+};
+
+} // namespace mangolink
--- a/src/connection/entry_server.cpp
+++ b/src/connection/entry_server.cpp
@@ -60,7 +60,8 @@
         http_server_settings{.address = settings_.listen,
                              .threads = settings_.http_threads,
                              .max_connections = settings_.max_connections,
-                             .max_body = settings_.max_body},
+                             .max_body = settings_.max_body,
+                             .read_limit = settings_.read_limit},
         [this](const std::shared_ptr<http_exchange>& exchange)
         { on_request(exchange); });
     admin_ = std::make_unique<admin_server>(settings_.instance.admin_address,
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -1,5 +1,6 @@
 #include "connection/http_server.hpp"
 
+#include "connection/connection_watch.hpp"
 #include "connection/http_exchange.hpp"
 #include "process/socket_address.hpp"
 
@@ -64,6 +65,10 @@
         }
         if (exchange->phase_ == http_exchange::phase::receiving)
         {
+            if (!self.watch_->received(connection))
+            {
+                return MHD_NO; // refused for being too slow
+            }
             complete(self, exchange);
         }
         return static_cast<MHD_Result>(exchange->queue_or_suspend());
@@ -110,13 +115,35 @@
         self.on_request_(exchange);
     }
 
-    static void completed(void* server, MHD_Connection*, void** state,
-                          MHD_RequestTerminationCode code)
+    static void* request_line(void* server, const char*,
+                              MHD_Connection* connection)
+    {
+        static_cast<http_server*>(server)->watch_->receiving(connection);
+        return nullptr;
+    }
+
+    static void connection_changed(void* server, MHD_Connection* connection,
+                                   void**, MHD_ConnectionNotificationCode code)
+    {
+        connection_watch& watch = *static_cast<http_server*>(server)->watch_;
+        if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+        {
+            watch.closed(connection);
+            return;
+        }
+        const auto* info = MHD_get_connection_info(
+            connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        watch.opened(connection, info->connect_fd);
+    }
+
+    static void completed(void* server, MHD_Connection* connection,
+                          void** state, MHD_RequestTerminationCode code)
     {
         if (*state == nullptr)
         {
             return;
         }
+        static_cast<http_server*>(server)->watch_->answered(connection);
         auto* holder = static_cast<exchange_pointer*>(*state);
         (*holder)->close(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
         delete holder;
@@ -126,7 +153,9 @@
 };
 
 http_server::http_server(http_server_settings settings, handler on_request)
-    : settings_(std::move(settings)), on_request_(std::move(on_request))
+    : settings_(std::move(settings)), on_request_(std::move(on_request)),
+      watch_(std::make_unique<connection_watch>(settings_.read_limit,
+                                                settings_.idle_limit))
 {
     sockaddr_in address = to_sockaddr(settings_.address);
     const unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD |
@@ -134,7 +163,9 @@
     daemon_ = MHD_start_daemon(
         flags, 0, nullptr, nullptr, &callbacks::access, this,
         MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED,
-        &callbacks::completed, this, MHD_OPTION_CONNECTION_LIMIT,
+        &callbacks::completed, this, MHD_OPTION_NOTIFY_CONNECTION,
+        &callbacks::connection_changed, this, MHD_OPTION_URI_LOG_CALLBACK,
+        &callbacks::request_line, this, MHD_OPTION_CONNECTION_LIMIT,
         settings_.max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
         static_cast<unsigned>(settings_.idle_limit.count()),
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, settings_.connection_memory,
--- a/src/connection/http_server.hpp
+++ b/src/connection/http_server.hpp
@@ -14,6 +14,7 @@
 namespace mangolink
 {
 
+class connection_watch;
 class http_exchange;
 
 /// Where and how a server listens.
@@ -25,6 +26,7 @@
     std::size_t max_body = 1024 * 1024;       ///< bytes
     std::size_t connection_memory = 8 * 1024; ///< bytes
     std::chrono::seconds idle_limit{60};
+    milliseconds read_limit{0}; ///< for a whole request; 0: none
 };
 
 /// HTTP/1.1 server on threads of its own.
@@ -58,6 +60,7 @@
     http_server_settings settings_;
     handler on_request_;
     MHD_Daemon* daemon_ = nullptr;
+    std::unique_ptr<connection_watch> watch_;
     int listener_ = -1;
     std::atomic<std::size_t> active_{0};
 };
--- a/tests/integration/whole_path_test.cpp
+++ b/tests/integration/whole_path_test.cpp
@@ -1,4 +1,5 @@
 #include "lab/deployment.hpp"
+#include "support/foundry_parts.hpp"
 #include "support/story.hpp"
 
 #include <nlohmann/json.hpp>
@@ -13,26 +14,6 @@
 using nlohmann::json;
 using namespace mangolink::bench;
 
-json foundry_pipelines()
-{
-    return json::parse(R"({
-      "dossier": {"stages": [
-        {"name": "encode", "kind": "encode", "pool": "encoders"},
-        {"name": "retrieve", "kind": "retrieve", "pool": "retrievers"},
-        {"name": "rerank", "kind": "rerank", "pool": "rerankers"},
-        {"name": "generate", "kind": "generate", "pool": "engines"}]},
-      "question": {"stages": [
-        {"name": "encode", "kind": "encode", "pool": "encoders"}]},
-      "commission": {"customers": ["caster"], "stages": [
-        {"name": "order", "kind": "call", "pool": "desk", "path": "/orders",
-         "idempotent": false}]}})");
-}
-
-json foundry_customers()
-{
-    return json::parse(R"({"caster": {"share": 3}, "glazier": {}})");
-}
-
 std::vector<server_plan> foundry_servers()
 {
     return {{"enc-1", "encoders"},
@@ -71,8 +52,7 @@
     void one_stage_request()
     {
         deployment system({{"enc-1", "encoders"}},
-                          {{"question", foundry_pipelines()["question"]}},
-                          foundry_customers());
+                          pipelines_named({"question"}), foundry_customers());
         system.start_all();
         const auto result =
             system.request("entry-1", "question", R"({"input": "tin"})");
@@ -97,8 +77,10 @@
 
     void four_stages_and_a_stream()
     {
-        deployment system(foundry_servers(), foundry_pipelines(),
-                          foundry_customers());
+        deployment system(
+            foundry_servers(),
+            pipelines_named({"dossier", "question", "commission"}),
+            foundry_customers());
         system.start_all();
         const std::string body =
             R"({"input": "Review this mould", "max_tokens": 5})";
@@ -131,8 +113,7 @@
     void commission_runs_once_per_key()
     {
         deployment system({{"desk-1", "desk"}, {"desk-2", "desk"}},
-                          {{"commission", foundry_pipelines()["commission"]}},
-                          foundry_customers());
+                          pipelines_named({"commission"}), foundry_customers());
         system.start_all();
         system.start_entry("entry-2");
         CPPUNIT_ASSERT(system.ready("entry-2", 2));
@@ -199,8 +180,7 @@
     void unacceptable_requests()
     {
         deployment system({{"enc-1", "encoders"}, {"desk-1", "desk"}},
-                          {{"question", foundry_pipelines()["question"]},
-                           {"commission", foundry_pipelines()["commission"]}},
+                          pipelines_named({"question", "commission"}),
                           foundry_customers());
         system.start_all();
         struct row final
@@ -262,8 +242,7 @@
     void administration()
     {
         deployment system({{"enc-1", "encoders"}},
-                          {{"question", foundry_pipelines()["question"]}},
-                          foundry_customers());
+                          pipelines_named({"question"}), foundry_customers());
         system.start_all();
         const auto patch = [](int base, int number)
         {
@@ -331,13 +310,7 @@
     void graceful_stop()
     {
         deployment system({{"eng-1", "engines", "engine"}},
-                          {{"talk",
-                            {{"stages",
-                              {{{"name", "generate"},
-                                {"kind", "generate"},
-                                {"pool", "engines"}}}},
-                             {"deadline_ms", 20000}}}},
-                          foundry_customers());
+                          pipelines_named({"talk"}), foundry_customers());
         system.start_all();
         http_result streamed;
         std::thread caller(
--- a/tests/unit/backend_client_test.cpp
+++ b/tests/unit/backend_client_test.cpp
@@ -15,13 +15,14 @@
     {
         int ended = 0;
         backend_answer last;
-        backend_client client({.base_url = "http://127.0.0.1:1"},
-                              {[](call_id, const std::string&, std::uint32_t) {},
-                               [&](call_id, const backend_answer& answer)
-                               {
-                                   ++ended;
-                                   last = answer;
-                               }});
+        backend_client client(
+            {.base_url = "http://127.0.0.1:1"},
+            {[](call_id, const std::string&, std::uint32_t) {},
+             [&](call_id, const backend_answer& answer)
+             {
+                 ++ended;
+                 last = answer;
+             }});
         backend_call call;
         call.id = static_cast<call_id>(1);
         call.time_limit = milliseconds(5000);
