--- /dev/null
+++ b/tests/unit/agent_core_test.cpp
@@ -0,0 +1,254 @@
+#include "process/agent_actions.hpp"
+#include "process/agent_core.hpp"
+#include "process/audit_trail.hpp"
+#include "request/idempotency_key.hpp"
+#include "support/story.hpp"
+#include "version/configuration_store.hpp"
+#include "wire/mangolink.pb.h"
+
+#include <random>
+
+namespace mangolink::test
+{
+namespace
+{
+
+/// Keeps what the agent does.
+class recorded_agent final : public agent_actions
+{
+public:
+    void send(const std::string&, wire::envelope& message) override
+    {
+        sent.push_back(message);
+    }
+    void start_call(backend_call call) override
+    {
+        started.push_back(std::move(call));
+    }
+    void cancel_call(call_id) override { ++cancelled; }
+
+    std::vector<wire::envelope> sent;
+    std::vector<backend_call> started;
+    int cancelled = 0;
+};
+
+struct agent_fixture final
+{
+    wire::envelope submit(const std::string& id, bool idempotent = true)
+    {
+        wire::envelope message;
+        message.set_schema(1);
+        message.set_receiver(own.value());
+        wire::submit& submit = *message.mutable_submit();
+        submit.set_request_id(id);
+        submit.set_kind(4);
+        submit.set_body("{}");
+        submit.set_budget_us(1'000'000);
+        submit.set_customer("caster");
+        submit.set_idempotent(idempotent);
+        return message;
+    }
+
+    void give(const wire::envelope& message)
+    {
+        core.on_message("entry", message, time);
+    }
+
+    void cancel(const std::string& id)
+    {
+        wire::envelope message;
+        message.set_schema(1);
+        message.set_receiver(own.value());
+        message.mutable_cancel()->mutable_ref()->set_request_id(id);
+        give(message);
+    }
+
+    unsigned last_refusal() const
+    {
+        return actions.sent.empty() ? 0 : actions.sent.back().refused().code();
+    }
+
+    const incarnation own{9};
+    agent_time time{
+        boot_clock::time_point(std::chrono::hours(1)),
+        std::chrono::system_clock::time_point(std::chrono::hours(1000))};
+    audit_trail trail;
+    configuration_store store{trail};
+    recorded_agent actions;
+    agent_core core{
+        {.server = "desk-1", .limit = 1, .max_queue = 2}, own, store, actions};
+};
+
+const std::string first_id = "aaaaaaaaaaaaaaaa";
+const std::string second_id = "bbbbbbbbbbbbbbbb";
+
+} // namespace
+
+class agent_core_test final : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(agent_core_test);
+    CPPUNIT_TEST(refused_work_never_runs);
+    CPPUNIT_TEST(copies_run_once);
+    CPPUNIT_TEST(leaving);
+    CPPUNIT_TEST(keys);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void refused_work_never_runs()
+    {
+        agent_fixture agent;
+        agent.give(agent.submit(first_id));
+        agent.give(agent.submit(second_id));
+        section("work cancelled while it waits is refused with proof",
+                [&]
+                {
+                    agent.cancel(second_id);
+                    CPPUNIT_ASSERT_EQUAL(1303U, agent.last_refusal());
+                });
+        section("a late copy of it does not run",
+                [&]
+                {
+                    agent.give(agent.submit(second_id));
+                    agent.core.on_call_ended(agent.actions.started[0].id, {},
+                                             agent.time);
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                                         agent.actions.started.size());
+                });
+        section("a cancel that overtakes its submit finds nothing, and work "
+                "whose time is over is refused",
+                [&]
+                {
+                    agent_fixture other;
+                    auto late = other.submit(first_id);
+                    late.mutable_submit()->set_budget_us(0);
+                    late.mutable_submit()->set_expected_work_us(1);
+                    other.give(late);
+                    CPPUNIT_ASSERT_EQUAL(1200U, other.last_refusal());
+                    CPPUNIT_ASSERT(other.actions.started.empty());
+                });
+        section("a full queue refuses",
+                []
+                {
+                    agent_fixture other;
+                    for (const char letter : {'a', 'b', 'c', 'd'})
+                    {
+                        other.give(other.submit(std::string(16, letter)));
+                    }
+                    CPPUNIT_ASSERT_EQUAL(1201U, other.last_refusal());
+                });
+    }
+
+    void copies_run_once()
+    {
+        agent_fixture agent;
+        agent.give(agent.submit(first_id));
+        agent.give(agent.submit(first_id));
+        agent.core.on_call_ended(agent.actions.started[0].id, {}, agent.time);
+        agent.give(agent.submit(first_id));
+        section("three copies, one call",
+                [&] {
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                                         agent.actions.started.size());
+                });
+        section("a submit for a predecessor is refused",
+                [&]
+                {
+                    auto old = agent.submit(second_id);
+                    old.set_receiver(8);
+                    agent.give(old);
+                    CPPUNIT_ASSERT_EQUAL(1302U, agent.last_refusal());
+                });
+    }
+
+    void leaving()
+    {
+        agent_fixture agent;
+        agent.give(agent.submit(first_id));
+        agent.core.begin_leaving();
+        section("new work is refused",
+                [&]
+                {
+                    agent.give(agent.submit(second_id));
+                    CPPUNIT_ASSERT_EQUAL(1301U, agent.last_refusal());
+                    CPPUNIT_ASSERT(!agent.core.drained());
+                });
+        section("what runs is finished",
+                [&]
+                {
+                    backend_answer answer;
+                    answer.code = result_code::complete;
+                    agent.core.on_call_ended(agent.actions.started[0].id,
+                                             answer, agent.time);
+                    CPPUNIT_ASSERT_EQUAL(
+                        1000U, agent.actions.sent.back().finished().code());
+                    CPPUNIT_ASSERT(agent.core.drained());
+                });
+    }
+
+    void keys()
+    {
+        agent_fixture agent;
+        std::minstd_rand random;
+        const auto key = [&](const incarnation& owner, int seconds_left)
+        {
+            const auto expiry =
+                std::chrono::time_point_cast<std::chrono::seconds>(
+                    agent.time.wall) +
+                std::chrono::seconds(seconds_left);
+            return idempotency_key::issue("desk-1", owner, expiry, random)
+                .text();
+        };
+        const auto give = [&](const std::string& id, const std::string& text,
+                              const std::string& body)
+        {
+            auto message = agent.submit(id, false);
+            message.mutable_submit()->set_idempotency_key(text);
+            message.mutable_submit()->set_body(body);
+            agent.give(message);
+        };
+        const std::string good = key(agent.own, 60);
+        section("the first submission runs, the second is told so",
+                [&]
+                {
+                    give(first_id, good, "{}");
+                    give(second_id, good, "{}");
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                                         agent.actions.started.size());
+                    CPPUNIT_ASSERT_EQUAL(
+                        1501U, agent.actions.sent.back().finished().code());
+                });
+        section("cancelling does not stop what may not be repeated",
+                [&]
+                {
+                    agent.cancel(first_id);
+                    CPPUNIT_ASSERT_EQUAL(0, agent.actions.cancelled);
+                });
+        section("after its end the kept answer is given",
+                [&]
+                {
+                    backend_answer answer;
+                    answer.code = result_code::complete;
+                    answer.body = "{\"cast\":1}";
+                    agent.core.on_call_ended(agent.actions.started[0].id,
+                                             answer, agent.time);
+                    give("cccccccccccccccc", good, "{}");
+                    const auto& again = agent.actions.sent.back().finished();
+                    CPPUNIT_ASSERT(again.repeated());
+                    CPPUNIT_ASSERT_EQUAL(answer.body, again.body());
+                });
+        section("keys of others, and those out of date, run nothing",
+                [&]
+                {
+                    give("dddddddddddddddd", key(incarnation(8), 60), "{}");
+                    give("eeeeeeeeeeeeeeee", key(agent.own, -1), "{}");
+                    give("ffffffffffffffff", good, "{\"other\":1}");
+                    CPPUNIT_ASSERT_EQUAL(1108U, agent.last_refusal());
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                                         agent.actions.started.size());
+                });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(agent_core_test);
+
+} // namespace mangolink::test
--- /dev/null
+++ b/tests/unit/settings_test.cpp
@@ -0,0 +1,118 @@
+#include "process/entry_settings.hpp"
+#include "process/settings_error.hpp"
+#include "process/settings_reader.hpp"
+#include "support/story.hpp"
+
+namespace mangolink::test
+{
+namespace
+{
+
+const std::string good = R"([instance]
+name = "entry-1"
+zone = "vestland-1"
+region = "vestland"
+admin_address = "127.0.0.1:7900"
+admin_key = "secret"
+[entry]
+listen = "127.0.0.1:8080"
+)";
+
+/// Returns what is wrong with the settings; empty when nothing is.
+std::string problems_of(const std::string& text,
+                        const std::vector<std::string>& overrides = {})
+{
+    try
+    {
+        settings_reader reader(text, "entry.toml");
+        for (const auto& row : overrides)
+        {
+            reader.override_with(row);
+        }
+        entry_settings::read(reader);
+        reader.finish();
+    }
+    catch (const settings_error& error)
+    {
+        return error.what();
+    }
+    return {};
+}
+
+void expect(const std::string& text, const std::string& part)
+{
+    CPPUNIT_ASSERT_MESSAGE(text, text.find(part) != std::string::npos);
+}
+
+} // namespace
+
+class settings_test final : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(settings_test);
+    CPPUNIT_TEST(every_problem_is_named);
+    CPPUNIT_TEST(precedence);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void every_problem_is_named()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string(), problems_of(good));
+        section("an unknown key, with its line",
+                []
+                {
+                    expect(problems_of(good + "lisen = \"x\"\n"),
+                           "entry.toml:9: entry.lisen: unknown key");
+                });
+        section("a wrong type",
+                []
+                {
+                    expect(problems_of(good + "http_threads = \"two\"\n"),
+                           "entry.toml:9: entry.http_threads: must be a whole "
+                           "number from 1 to 64");
+                });
+        section("a value out of range",
+                []
+                {
+                    expect(problems_of(good + "[limits]\nretry_share = 1.5\n"),
+                           "entry.toml:10: limits.retry_share: must be a "
+                           "number from 0 to 1");
+                });
+        section("a missing key and a bad address, together",
+                []
+                {
+                    const std::string text =
+                        problems_of("[entry]\nlisten = \"nowhere\"\n");
+                    expect(text, "instance.name: missing");
+                    expect(text, "entry.toml:2: entry.listen: must be an IPv4");
+                });
+        section("text that is not TOML",
+                [] { expect(problems_of("[entry\n"), "entry.toml:1: "); });
+    }
+
+    void precedence()
+    {
+        section("an override goes before the file",
+                []
+                {
+                    settings_reader reader(good, "entry.toml");
+                    reader.override_with("entry.listen=127.0.0.1:9999");
+                    reader.override_with("routing.policy=round_robin");
+                    const auto settings = entry_settings::read(reader);
+                    reader.finish();
+                    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:9999"),
+                                         settings.listen);
+                    expect(reader.effective(),
+                           "routing.policy = 'round_robin'");
+                });
+        section("and is checked like it",
+                []
+                {
+                    expect(problems_of(good, {"routing.policy=\"best\""}),
+                           "must be one of expected_wait");
+                });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(settings_test);
+
+} // namespace mangolink::test
