--- a/bench/faultproxy/fault_rules.hpp
+++ b/bench/faultproxy/fault_rules.hpp
@@ -21,7 +21,7 @@
     std::uint64_t bytes_per_second = 0; ///< 0: no limit
     bool cut = false;                   ///< close and refuse connections
     bool reset = false; ///< close the open connections once, take new ones
-    bool hold_to_server = false;        ///< swallow bytes in this direction
+    bool hold_to_server = false; ///< swallow bytes in this direction
     bool hold_to_client = false;
     double drop = 0;                ///< share of connections closed at once
     bool duplicate_connect = false; ///< open a second, silent connection
--- a/src/connection/command_queue.cpp
+++ b/src/connection/command_queue.cpp
@@ -1,5 +1,7 @@
 #include "connection/command_queue.hpp"
 
+#include "process/race_annotations.hpp"
+
 namespace mangolink
 {
 
@@ -21,6 +23,7 @@
     auto* fresh = new node;
     cds_wfcq_node_init(fresh);
     fresh->action = std::move(action);
+    annotate_release(fresh);
     cds_wfcq_enqueue(cds_wfcq_head_cast(&head_), &tail_, fresh);
     if (!signalled_.exchange(true))
     {
@@ -42,7 +45,9 @@
 {
     cds_wfcq_node* link =
         __cds_wfcq_dequeue_blocking(cds_wfcq_head_cast(&head_), &tail_);
-    return std::unique_ptr<node>(static_cast<node*>(link));
+    auto* taken = static_cast<node*>(link);
+    annotate_acquire(taken);
+    return std::unique_ptr<node>(taken);
 }
 
 } // namespace mangolink
--- a/src/process/rcu_cell.hpp
+++ b/src/process/rcu_cell.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "process/race_annotations.hpp"
+
 #include <urcu-bp.h>
 
 #include <memory>
@@ -30,7 +32,10 @@
     pointer load() const
     {
         urcu_bp_read_lock();
-        pointer copy = *rcu_dereference(current_);
+        const pointer* now = rcu_dereference(current_);
+        annotate_acquire(&current_);
+        pointer copy = *now;
+        annotate_release(&readers_);
         urcu_bp_read_unlock();
         return copy;
     }
@@ -39,13 +44,17 @@
     void store(pointer next)
     {
         auto* fresh = new pointer(std::move(next));
+        annotate_release(&current_);
         pointer* previous = rcu_xchg_pointer(&current_, fresh);
         urcu_bp_synchronize_rcu();
+        annotate_acquire(&readers_);
         delete previous;
     }
 
 private:
-    pointer* current_;
+    // Addresses for the annotations; mutable since readers are const.
+    mutable pointer* current_;
+    mutable char readers_ = 0;
 };
 
 } // namespace mangolink
