Give every refusal its request id; test the command lines

Cause: the answers 413 and 408 were constants without a request id. Change: the owner of an HTTP server makes both; mangolink-ctl and the check of settings are tested as programs.

--- a/bench/lab/deployment.cpp
+++ b/bench/lab/deployment.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 
 namespace mangolink::bench
@@ -163,6 +164,24 @@
         });
 }
 
+command_result deployment::run(std::vector<std::string> command) const
+{
+    const std::string output = folder_ + "/command.log";
+    std::filesystem::remove(output);
+    command.front() = PROGRAM_DIRECTORY "/" + command.front();
+    child_process program(command, output);
+    command_result result;
+    result.exit_code = program.wait(milliseconds(30'000));
+    std::ifstream input(output);
+    result.output.assign(std::istreambuf_iterator<char>(input), {});
+    return result;
+}
+
+std::string deployment::settings_path(const std::string& name) const
+{
+    return folder_ + "/" + name + ".toml";
+}
+
 child_process& deployment::process(const std::string& name)
 {
     return *processes_.at(name);
@@ -277,7 +296,7 @@
                        const std::string& settings,
                        const std::vector<std::string>& overrides)
 {
-    const std::string path = folder_ + "/" + name + ".toml";
+    const std::string path = settings_path(name);
     write_file(path, settings);
     std::vector<std::string> command{PROGRAM_DIRECTORY "/" + program,
                                      "--settings", path};
--- a/bench/lab/deployment.hpp
+++ b/bench/lab/deployment.hpp
@@ -14,6 +14,13 @@
 namespace mangolink::bench
 {
 
+/// What a program printed and how it ended.
+struct command_result final
+{
+    int exit_code = 0;
+    std::string output;
+};
+
 /// Real processes on loopback: stand-ins, an agent for each backend server
 /// and entries. All are ended with the object.
 class deployment final
@@ -37,6 +44,12 @@
     /// Waits until the entry sees this many usable members.
     bool ready(const std::string& entry, std::size_t usable) const;
 
+    /// Runs a program of the product to its end.
+    command_result run(std::vector<std::string> command) const;
+
+    /// Returns the settings file of a process that was started.
+    std::string settings_path(const std::string& name) const;
+
     child_process& process(const std::string& name);
 
     /// Calls an entry as the customer "caster" unless headers name another.
--- a/src/connection/admin_server.cpp
+++ b/src/connection/admin_server.cpp
@@ -41,6 +41,11 @@
 void admin_server::dispatch(
     const std::shared_ptr<http_exchange>& exchange) const
 {
+    if (exchange->too_large())
+    {
+        exchange->respond(code_answer(result_code::body_too_large, ""));
+        return;
+    }
     if (!authorized(*exchange))
     {
         exchange->respond(code_answer(result_code::unauthorized, ""));
--- a/src/connection/connection_watch.cpp
+++ b/src/connection/connection_watch.cpp
@@ -1,10 +1,11 @@
 #include "connection/connection_watch.hpp"
 
+#include "connection/http_message.hpp"
 #include "process/log.hpp"
 
 #include <sys/socket.h>
 
-#include <string_view>
+#include <string>
 
 namespace mangolink
 {
@@ -13,22 +14,26 @@
 
 constexpr milliseconds sweep_interval{100};
 
-constexpr std::string_view too_slow =
-    "HTTP/1.1 408 Request Timeout\r\n"
-    "Content-Type: application/json\r\n"
-    "Connection: close\r\n"
-    "Mangolink-Code: 1112\r\n"
-    "Mangolink-Outcome: not_run\r\n"
-    "Content-Length: 59\r\n\r\n"
-    "{\"code\":1112,\"name\":\"request_too_slow\",\"outcome\":\"not_run\"}";
+/// Returns an answer as it goes over the wire.
+std::string wire_text(const http_answer& answer)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(answer.status) +
+                       " Refused\r\nConnection: close\r\n";
+    for (const auto& header : answer.headers)
+    {
+        text += header.name + ": " + header.value + "\r\n";
+    }
+    text +=
+        "Content-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n";
+    return text + answer.body;
+}
 
 } // namespace
 
-connection_watch::connection_watch(milliseconds read_limit,
-                                   milliseconds idle_limit)
-    : read_limit_(read_limit), idle_limit_(idle_limit)
+connection_watch::connection_watch(connection_watch_settings settings)
+    : settings_(std::move(settings))
 {
-    if (read_limit_ > milliseconds(0))
+    if (settings_.read_limit > milliseconds(0))
     {
         thread_ = std::thread([this] { run(); });
     }
@@ -99,15 +104,17 @@
     {
         const auto age = now - current.since;
         const bool slow =
-            current.state == phase::receiving && age > read_limit_;
-        const bool unused = current.state == phase::idle && age > idle_limit_;
+            current.state == phase::receiving && age > settings_.read_limit;
+        const bool unused =
+            current.state == phase::idle && age > settings_.idle_limit;
         if (!slow && !unused)
         {
             continue;
         }
         if (slow)
         {
-            ::send(current.descriptor, too_slow.data(), too_slow.size(),
+            const std::string text = wire_text(settings_.slow_answer());
+            ::send(current.descriptor, text.data(), text.size(),
                    MSG_DONTWAIT | MSG_NOSIGNAL);
             log_detail("callers", "Request arrived too slowly.");
         }
--- a/src/connection/connection_watch.hpp
+++ b/src/connection/connection_watch.hpp
@@ -5,6 +5,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <functional>
 #include <mutex>
 #include <thread>
 
@@ -13,16 +14,24 @@
 namespace mangolink
 {
 
+struct http_answer;
+
+/// Limits of a connection's time.
+struct connection_watch_settings final
+{
+    milliseconds read_limit{0}; ///< for a request to arrive; 0: any time
+    milliseconds idle_limit{0}; ///< between two requests
+    std::function<http_answer()> slow_answer; ///< after the read limit
+};
+
 /// Ends connections whose request takes too long to arrive, however steadily
-/// its bytes trickle in. The caller is told with status 408 and code 1112.
+/// its bytes trickle in. The caller is told by the slow answer.
 ///
 /// Any thread may call any member.
 class connection_watch final
 {
 public:
-    /// A request may take `read_limit` to arrive, zero: any time; a connection
-    /// may be idle between requests for `idle_limit`.
-    connection_watch(milliseconds read_limit, milliseconds idle_limit);
+    explicit connection_watch(connection_watch_settings settings);
     ~connection_watch();
 
     connection_watch(const connection_watch&) = delete;
@@ -57,8 +66,7 @@
     void sweep();
     void run();
 
-    milliseconds read_limit_;
-    milliseconds idle_limit_;
+    connection_watch_settings settings_;
     std::mutex mutex_;
     absl::flat_hash_map<const MHD_Connection*, row> rows_;
     bool stopping_ = false;
--- a/src/connection/entry_server.cpp
+++ b/src/connection/entry_server.cpp
@@ -61,7 +61,14 @@
                              .threads = settings_.http_threads,
                              .max_connections = settings_.max_connections,
                              .max_body = settings_.max_body,
-                             .read_limit = settings_.read_limit},
+                             .read_limit = settings_.read_limit,
+                             .slow_answer =
+                                 []
+                             {
+                                 return caller_api::error_answer(
+                                     fresh_id(),
+                                     {result_code::request_too_slow, {}});
+                             }},
         [this](const std::shared_ptr<http_exchange>& exchange)
         { on_request(exchange); });
     admin_ = std::make_unique<admin_server>(settings_.instance.admin_address,
@@ -162,9 +169,11 @@
 {
     const auto now = boot_clock::now();
     const request_id id = fresh_id();
-    if (draining_)
+    if (draining_ || exchange->too_large())
     {
-        refuse(exchange, id, {result_code::leaving, {}});
+        refuse(exchange, id,
+               {draining_ ? result_code::leaving : result_code::body_too_large,
+                {}});
         return;
     }
     auto parsed = api_.parse(exchange->request(), store_.current(), id, now);
@@ -226,7 +235,8 @@
                      std::string(describe(error.code).name) + "\"")
         .add();
     http_answer answer = caller_api::error_answer(id, error);
-    if (error.code == result_code::leaving)
+    if (error.code == result_code::leaving ||
+        error.code == result_code::body_too_large)
     {
         answer.headers.push_back({"Connection", "close"});
     }
--- a/src/connection/http_exchange.hpp
+++ b/src/connection/http_exchange.hpp
@@ -28,6 +28,10 @@
 
     const http_request& request() const { return request_; }
 
+    /// Returns whether the body was larger than the server's limit; the body
+    /// is then empty.
+    bool too_large() const { return too_large_; }
+
     /// Gives the whole answer.
     void respond(http_answer answer);
 
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -103,15 +103,6 @@
 
     static void complete(http_server& self, const exchange_pointer& exchange)
     {
-        if (exchange->too_large_)
-        {
-            exchange->respond({413,
-                               {{"Content-Type", "application/json"},
-                                {"Connection", "close"}},
-                               "{\"code\":1105,\"name\":\"body_too_large\","
-                               "\"outcome\":\"not_run\"}"});
-            return;
-        }
         self.on_request_(exchange);
     }
 
@@ -154,8 +145,8 @@
 
 http_server::http_server(http_server_settings settings, handler on_request)
     : settings_(std::move(settings)), on_request_(std::move(on_request)),
-      watch_(std::make_unique<connection_watch>(settings_.read_limit,
-                                                settings_.idle_limit))
+      watch_(std::make_unique<connection_watch>(connection_watch_settings{
+          settings_.read_limit, settings_.idle_limit, settings_.slow_answer}))
 {
     sockaddr_in address = to_sockaddr(settings_.address);
     const unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD |
--- a/tests/integration/whole_path_test.cpp
+++ b/tests/integration/whole_path_test.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(commission_runs_once_per_key);
     CPPUNIT_TEST(unacceptable_requests);
     CPPUNIT_TEST(administration);
+    CPPUNIT_TEST(command_lines);
     CPPUNIT_TEST(graceful_stop);
     CPPUNIT_TEST_SUITE_END();
 
@@ -307,6 +308,61 @@
                 });
     }
 
+    void command_lines()
+    {
+        deployment system({{"enc-1", "encoders"}},
+                          pipelines_named({"question"}), foundry_customers());
+        system.start_all();
+        const auto ctl = [&](std::vector<std::string> words)
+        {
+            words.insert(words.begin(), {"mangolink-ctl", "--address",
+                                         system.admin_address("entry-1"),
+                                         "--key", "test-key"});
+            return system.run(words);
+        };
+        section(
+            "mangolink-ctl prints tables and JSON",
+            [&]
+            {
+                const auto members = ctl({"members"});
+                CPPUNIT_ASSERT_EQUAL(0, members.exit_code);
+                CPPUNIT_ASSERT(members.output.find("enc-1") !=
+                               std::string::npos);
+                const auto explained = ctl({"--json", "explain", "question"});
+                CPPUNIT_ASSERT_EQUAL(
+                    std::string("enc-1"),
+                    json::parse(explained.output)["stages"][0]["candidates"][0]
+                                                 ["server"]
+                                                     .get<std::string>());
+            });
+        section("and says by its exit code what was refused",
+                [&]
+                {
+                    CPPUNIT_ASSERT_EQUAL(1, ctl({"explain", "none"}).exit_code);
+                    CPPUNIT_ASSERT_EQUAL(2, ctl({"dance"}).exit_code);
+                });
+        section(
+            "an entry checks its settings before anything starts",
+            [&]
+            {
+                const auto checked =
+                    system.run({"mangolink-entry", "--settings",
+                                system.settings_path("entry-1"), "--set",
+                                "entry.http_threads=0", "--check-settings"});
+                CPPUNIT_ASSERT_EQUAL(2, checked.exit_code);
+                CPPUNIT_ASSERT(checked.output.find(
+                                   "entry.http_threads: must be a whole "
+                                   "number from 1 to 64") != std::string::npos);
+            });
+        section("drain ends it gracefully",
+                [&]
+                {
+                    CPPUNIT_ASSERT_EQUAL(0, ctl({"drain"}).exit_code);
+                    CPPUNIT_ASSERT_EQUAL(
+                        0, system.process("entry-1").wait(milliseconds(20000)));
+                });
+    }
+
     void graceful_stop()
     {
         deployment system({{"eng-1", "engines", "engine"}},
