Complete the stand-in engine's protocol

Cause: resume, cancel by id, KV export and import, lagging load reports, late cache events and fenced orders were missing from the emulator.

--- a/bench/standins/engine_model.cpp
+++ b/bench/standins/engine_model.cpp
@@ -3,6 +3,7 @@
 #include "process/hash.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace mangolink::bench
 {
@@ -61,6 +62,7 @@
     {
         active row;
         row.sequence = std::move(waiting_.front());
+        row.produced = row.sequence.resume_from;
         waiting_.erase(waiting_.begin());
         spent += prefill(row);
         running_.push_back(std::move(row));
@@ -71,16 +73,12 @@
 microseconds engine_model::prefill(active& row)
 {
     const std::string& prompt = row.sequence.prompt;
-    const std::size_t block_chars = block_tokens * chars_per_token;
     row.prompt_tokens =
         static_cast<std::uint32_t>(prompt.size() / chars_per_token + 1);
-    std::uint64_t prefix = 0;
     bool prefix_known = true;
-    for (std::size_t at = 0; at + block_chars <= prompt.size();
-         at += block_chars)
+    for (const std::uint64_t block : blocks_of(prompt))
     {
-        prefix = stable_hash({prompt.data() + at, block_chars}, prefix);
-        const bool known = touch_block(prefix);
+        const bool known = touch_block(block);
         prefix_known = prefix_known && known;
         row.cached_tokens += prefix_known ? block_tokens : 0;
     }
@@ -88,6 +86,44 @@
            static_cast<std::int64_t>(row.prompt_tokens - row.cached_tokens);
 }
 
+std::vector<std::uint64_t> engine_model::blocks_of(const std::string& prompt)
+{
+    constexpr std::size_t block_chars = block_tokens * chars_per_token;
+    std::vector<std::uint64_t> blocks;
+    std::uint64_t prefix = 0;
+    for (std::size_t at = 0; at + block_chars <= prompt.size();
+         at += block_chars)
+    {
+        prefix = stable_hash({prompt.data() + at, block_chars}, prefix);
+        blocks.push_back(prefix);
+    }
+    return blocks;
+}
+
+std::vector<std::uint64_t>
+engine_model::export_prefix(const std::string& prompt) const
+{
+    std::vector<std::uint64_t> blocks = blocks_of(prompt);
+    const auto unknown = std::find_if(blocks.begin(), blocks.end(),
+                                      [this](std::uint64_t block)
+                                      { return !cache_.contains(block); });
+    blocks.erase(unknown, blocks.end());
+    return blocks;
+}
+
+void engine_model::import_blocks(const std::vector<std::uint64_t>& blocks)
+{
+    for (const std::uint64_t block : blocks)
+    {
+        touch_block(block);
+    }
+}
+
+std::vector<cache_change> engine_model::take_cache_changes()
+{
+    return std::exchange(changes_, {});
+}
+
 bool engine_model::touch_block(std::uint64_t block)
 {
     const auto found = cache_.find(block);
@@ -96,10 +132,15 @@
     {
         cache_order_.erase(found->second);
     }
+    else
+    {
+        changes_.push_back({block, true});
+    }
     cache_order_.push_back(block);
     cache_[block] = std::prev(cache_order_.end());
     if (cache_order_.size() > settings_.cache_blocks)
     {
+        changes_.push_back({cache_order_.front(), false});
         cache_.erase(cache_order_.front());
         cache_order_.pop_front();
     }
--- a/bench/standins/engine_model.hpp
+++ b/bench/standins/engine_model.hpp
@@ -29,7 +29,15 @@
     std::uint64_t id = 0;
     std::string prompt;
     std::uint32_t max_tokens = 0;
-    std::uint32_t priority = 0; ///< 0 is the most urgent
+    std::uint32_t priority = 0;    ///< 0 is the most urgent
+    std::uint32_t resume_from = 0; ///< index of the first token wanted
+};
+
+/// A prompt block that entered or left the cache.
+struct cache_change final
+{
+    std::uint64_t block = 0;
+    bool stored = true; ///< false: evicted
 };
 
 /// What a sequence got in one step.
@@ -61,6 +69,15 @@
     std::size_t running() const { return running_.size(); }
     std::size_t waiting() const { return waiting_.size(); }
 
+    /// Returns the blocks of a prompt's longest cached prefix.
+    std::vector<std::uint64_t> export_prefix(const std::string& prompt) const;
+
+    /// Puts blocks of another engine into the cache.
+    void import_blocks(const std::vector<std::uint64_t>& blocks);
+
+    /// Returns what changed in the cache since the last call.
+    std::vector<cache_change> take_cache_changes();
+
     /// Admits waiting sequences, prefills them and decodes one token each.
     engine_step step();
 
@@ -76,10 +93,12 @@
     microseconds admit_waiting();
     microseconds prefill(active& row);
     bool touch_block(std::uint64_t block);
+    static std::vector<std::uint64_t> blocks_of(const std::string& prompt);
 
     engine_model_settings settings_;
     std::vector<engine_sequence> waiting_;
     std::vector<active> running_;
+    std::vector<cache_change> changes_;
     std::list<std::uint64_t> cache_order_; ///< least recently used first
     absl::flat_hash_map<std::uint64_t, std::list<std::uint64_t>::iterator>
         cache_;
--- /dev/null
+++ b/bench/standins/engine_reports.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "process/clock.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <random>
+#include <vector>
+
+namespace mangolink::bench
+{
+
+/// A prompt block that entered or left an engine's cache.
+struct cache_event final
+{
+    std::uint64_t sequence = 0;
+    std::uint64_t block = 0;
+    bool stored = true; ///< false: evicted
+};
+
+/// Load of an engine at some time.
+struct engine_load final
+{
+    std::size_t running = 0;
+    std::size_t waiting = 0;
+};
+
+/// What an engine publishes about itself: its load with a lag, its cache
+/// events late and with gaps.
+class engine_reports final
+{
+public:
+    /// A share of the cache events, `gaps`, is never published.
+    engine_reports(milliseconds lag, double gaps, std::uint64_t seed);
+
+    void add_load(engine_load load, boot_clock::time_point now);
+    void add_event(std::uint64_t block, bool stored,
+                   boot_clock::time_point now);
+
+    /// Returns the load as it was a lag ago.
+    engine_load load(boot_clock::time_point now);
+
+    /// Returns the events after a sequence number that are older than the lag.
+    std::vector<cache_event> events_after(std::uint64_t sequence,
+                                          boot_clock::time_point now) const;
+
+private:
+    struct dated_load final
+    {
+        boot_clock::time_point at;
+        engine_load load;
+    };
+    struct dated_event final
+    {
+        boot_clock::time_point at;
+        cache_event event;
+    };
+
+    milliseconds lag_;
+    double gaps_;
+    std::mt19937_64 random_;
+    std::deque<dated_load> loads_;
+    std::deque<dated_event> events_;
+    std::uint64_t next_sequence_ = 1;
+};
+
+} // namespace mangolink::bench
--- a/bench/standins/engine_server.cpp
+++ b/bench/standins/engine_server.cpp
@@ -33,6 +33,8 @@
 engine_server::engine_server(engine_server_settings settings,
                              execution_record& record)
     : settings_(std::move(settings)), record_(record), model_(settings_.model),
+      orders_(settings_.checks_fence),
+      reports_(settings_.report_lag, settings_.event_gaps, settings_.seed),
       thread_([this] { run(); }),
       server_({.address = settings_.listen, .max_connections = 4000},
               [this](const std::shared_ptr<http_exchange>& exchange)
@@ -69,7 +71,78 @@
     }
     else
     {
-        exchange->respond({404, {}, "{}"});
+        const std::lock_guard lock(mutex_);
+        exchange->respond(control_answer(request));
+    }
+}
+
+http_answer engine_server::control_answer(const http_request& request)
+{
+    const json body = json::parse(request.body, nullptr, false);
+    const auto now = boot_clock::now();
+    if (request.path == "/v1/load")
+    {
+        const engine_load load = reports_.load(now);
+        return {
+            200,
+            {},
+            json{{"running", load.running}, {"waiting", load.waiting}}.dump()};
+    }
+    if (request.path == "/v1/cache/events")
+    {
+        const std::string after(request.argument("after"));
+        json rows = json::array();
+        for (const auto& row :
+             reports_.events_after(after.empty() ? 0 : std::stoull(after), now))
+        {
+            rows.push_back({{"sequence", row.sequence},
+                            {"block", row.block},
+                            {"stored", row.stored}});
+        }
+        return {200, {}, json{{"events", rows}}.dump()};
+    }
+    if (!body.is_object())
+    {
+        return {400, {}, "{}"};
+    }
+    if (request.path == "/v1/kv/export")
+    {
+        const auto blocks = model_.export_prefix(body.value("prompt", ""));
+        return {200, {}, json{{"blocks", blocks}}.dump()};
+    }
+    if (request.path == "/v1/kv/import")
+    {
+        model_.import_blocks(
+            body.value("blocks", std::vector<std::uint64_t>()));
+        return {200, {}, "{}"};
+    }
+    if (request.path == "/v1/cancel")
+    {
+        on_cancel(body);
+        return {200, {}, "{}"};
+    }
+    if (request.path == "/v1/orders")
+    {
+        const bool taken =
+            orders_.give({body.value("fence", std::uint64_t(0)),
+                          body.value("action", ""), body.value("subject", "")});
+        return {taken ? 200U : 409U, {}, "{}"};
+    }
+    return {404, {}, "{}"};
+}
+
+void engine_server::on_cancel(const json& body)
+{
+    const std::string wanted = body.value("request_id", "");
+    for (auto it = streams_.begin(); it != streams_.end();)
+    {
+        const auto current = it++;
+        if (current->second.request_id == wanted)
+        {
+            model_.cancel(current->first);
+            current->second.exchange->finish();
+            streams_.erase(current);
+        }
     }
 }
 
@@ -87,9 +160,10 @@
                  std::string(request.header("Idempotency-Key")), request.path});
     const std::lock_guard lock(mutex_);
     const std::uint64_t id = next_id_++;
-    streams_[id] = {exchange, false};
+    streams_[id] = {exchange, false,
+                    std::string(request.header("Mangolink-Request-Id"))};
     model_.add({id, body.value("prompt", ""), body.value("max_tokens", 16U),
-                body.value("priority", 5U)});
+                body.value("priority", 5U), body.value("resume_from", 0U)});
     exchange->when_caller_gone(
         [this, id]
         {
@@ -113,6 +187,12 @@
             continue;
         }
         const engine_step step = model_.step();
+        const auto now = boot_clock::now();
+        reports_.add_load({model_.running(), model_.waiting()}, now);
+        for (const auto& change : model_.take_cache_changes())
+        {
+            reports_.add_event(change.block, change.stored, now);
+        }
         due += std::chrono::duration_cast<boot_clock::duration>(step.length *
                                                                 slow_.load());
         const auto left = due - boot_clock::now();
--- a/bench/standins/engine_server.hpp
+++ b/bench/standins/engine_server.hpp
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "connection/http_message.hpp"
 #include "connection/http_server.hpp"
 #include "standins/engine_model.hpp"
+#include "standins/engine_orders.hpp"
+#include "standins/engine_reports.hpp"
 
 #include <absl/container/flat_hash_map.h>
+#include <nlohmann/json_fwd.hpp>
 
 #include <atomic>
 #include <condition_variable>
@@ -28,9 +32,18 @@
     std::string name;
     std::string listen;
     engine_model_settings model;
+    bool checks_fence = true;
+    milliseconds report_lag{500};
+    double event_gaps = 0.05; ///< share of cache events never published
+    std::uint64_t seed = 1;
 };
 
-/// Stand-in for a model engine: POST /v1/completions, streamed.
+/// Stand-in for a model engine.
+///
+/// POST /v1/completions, streamed, with "priority" and "resume_from"; POST
+/// /v1/cancel {"request_id"}; POST /v1/kv/export {"prompt"} and /v1/kv/import
+/// {"blocks"}; POST /v1/orders {"fence", "action", "subject"}; GET /v1/load
+/// with a lag; GET /v1/cache/events?after=N late and with gaps.
 ///
 /// GET /control/executions shows the record, POST /control/behaviour takes
 /// {"slow": factor}.
@@ -45,10 +58,13 @@
     {
         std::shared_ptr<http_exchange> exchange;
         bool begun = false;
+        std::string request_id;
     };
 
     void on_request(const std::shared_ptr<http_exchange>& exchange);
     void start(const std::shared_ptr<http_exchange>& exchange);
+    void on_cancel(const nlohmann::json& body);
+    http_answer control_answer(const http_request& request);
     void run();
     void emit(const engine_token& token);
 
@@ -57,6 +73,8 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     engine_model model_;
+    engine_orders orders_;
+    engine_reports reports_;
     absl::flat_hash_map<std::uint64_t, stream> streams_;
     std::uint64_t next_id_ = 1;
     bool stopping_ = false;
--- a/bench/standins/standins_main.cpp
+++ b/bench/standins/standins_main.cpp
@@ -18,6 +18,7 @@
 {
 
 using mangolink::microseconds;
+using mangolink::milliseconds;
 using nlohmann::json;
 namespace bench = mangolink::bench;
 
@@ -52,7 +53,14 @@
         microseconds(row.value("prefill_us_per_token", 30));
     model.max_batch = row.value("max_batch", 32U);
     set.engines.push_back(std::make_unique<bench::engine_server>(
-        bench::engine_server_settings{row.at("name"), row.at("listen"), model},
+        bench::engine_server_settings{
+            .name = row.at("name"),
+            .listen = row.at("listen"),
+            .model = model,
+            .checks_fence = row.value("checks_fence", true),
+            .report_lag = milliseconds(row.value("report_lag_ms", 500)),
+            .event_gaps = row.value("event_gaps", 0.05),
+            .seed = row.value("seed", std::uint64_t(1))},
         set.record));
 }
 
--- a/src/connection/http_server.hpp
+++ b/src/connection/http_server.hpp
@@ -27,8 +27,8 @@
     std::size_t max_body = 1024 * 1024;       ///< bytes
     std::size_t connection_memory = 8 * 1024; ///< bytes
     std::chrono::seconds idle_limit{60};
-    milliseconds read_limit{0};               ///< for a whole request; 0: none
-    std::function<http_answer()> slow_answer; ///< when that has passed
+    milliseconds read_limit{0}; ///< for a whole request; 0: none
+    std::function<http_answer()> slow_answer{}; ///< when that has passed
 };
 
 /// HTTP/1.1 server on threads of its own.
--- /dev/null
+++ b/tests/unit/engine_standin_test.cpp
@@ -0,0 +1,124 @@
+#include "standins/engine_model.hpp"
+#include "standins/engine_orders.hpp"
+#include "standins/engine_reports.hpp"
+#include "support/story.hpp"
+
+namespace mangolink::test
+{
+
+using namespace mangolink::bench;
+
+/// The stand-in is what other tests are measured by, so it is tested too.
+class engine_standin_test final : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(engine_standin_test);
+    CPPUNIT_TEST(batch_and_priorities);
+    CPPUNIT_TEST(prompt_cache);
+    CPPUNIT_TEST(orders_and_reports);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void batch_and_priorities()
+    {
+        engine_model engine({.max_batch = 2});
+        engine.add({1, "a", 2, 5});
+        engine.add({2, "b", 2, 5});
+        engine.add({3, "c", 1, 0});
+        const engine_step first = engine.step();
+        section("the urgent one is in the first batch of two",
+                [&]
+                {
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(2), first.tokens.size());
+                    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), first.tokens[0].id);
+                    CPPUNIT_ASSERT(first.tokens[0].last);
+                });
+        section("a step takes longer with more sequences",
+                [&]
+                {
+                    engine_model alone({});
+                    alone.add({1, "a", 2, 5});
+                    CPPUNIT_ASSERT(alone.step().length < first.length);
+                });
+        section("a resumed sequence goes on at its token",
+                []
+                {
+                    engine_model resumed({});
+                    engine.add({1, "a", 5, 5, 3});
+                    CPPUNIT_ASSERT_EQUAL(3U, engine.step().tokens[0].index);
+                    CPPUNIT_ASSERT(engine.step().tokens[0].last);
+                    CPPUNIT_ASSERT(engine.idle());
+                });
+    }
+
+    void prompt_cache()
+    {
+        const std::string prompt(640, 'p');
+        const auto cached_of = [&](engine_model& engine, std::uint64_t id)
+        {
+            engine.add({id, prompt, 1, 5});
+            return engine.step().tokens[0].cached_tokens;
+        };
+        engine_model engine({});
+        section("a repeated prompt is not computed again",
+                [&]
+                {
+                    CPPUNIT_ASSERT_EQUAL(0U, cached_of(engine, 1));
+                    CPPUNIT_ASSERT_EQUAL(160U, cached_of(engine, 2));
+                });
+        section("another engine has it after an import",
+                [&]
+                {
+                    engine_model other({});
+                    other.import_blocks(engine.export_prefix(prompt));
+                    CPPUNIT_ASSERT_EQUAL(160U, cached_of(other, 1));
+                });
+        section("a cache that is too small forgets",
+                [&]
+                {
+                    engine_model small({.cache_blocks = 4});
+                    cached_of(small, 1);
+                    CPPUNIT_ASSERT_EQUAL(0U, cached_of(small, 2));
+                    CPPUNIT_ASSERT(small.export_prefix(prompt).empty());
+                });
+    }
+
+    void orders_and_reports()
+    {
+        section("an old fencing number is refused by those that check",
+                []
+                {
+                    engine_orders strict(true);
+                    engine_orders lax(false);
+                    CPPUNIT_ASSERT(strict.give({7, "load_model", "a"}));
+                    CPPUNIT_ASSERT(!strict.give({6, "load_model", "b"}));
+                    CPPUNIT_ASSERT(lax.give({7, "load_model", "a"}));
+                    CPPUNIT_ASSERT(lax.give({6, "load_model", "b"}));
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(1), strict.done().size());
+                });
+        section("load is reported with its lag, events late and with gaps",
+                []
+                {
+                    engine_reports reports(milliseconds(500), 0.5, 1);
+                    const boot_clock::time_point start{std::chrono::hours(1)};
+                    reports.add_load({3, 1}, start);
+                    reports.add_load({9, 9}, start + milliseconds(400));
+                    for (std::uint64_t i = 0; i < 100; ++i)
+                    {
+                        reports.add_event(i, true, start);
+                    }
+                    const auto soon = start + milliseconds(499);
+                    const auto later = start + milliseconds(600);
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(0),
+                                         reports.load(soon).running);
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(3),
+                                         reports.load(later).running);
+                    CPPUNIT_ASSERT(reports.events_after(0, soon).empty());
+                    const auto events = reports.events_after(0, later);
+                    CPPUNIT_ASSERT(events.size() > 20 && events.size() < 80);
+                });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(engine_standin_test);
+
+} // namespace mangolink::test
