Take the planning of time out of the executor; share the common routes

Change: deadline_planner, attempt_message, common_admin_routes, platform_reader_settings::of, socket_address::native; the test is mended.

--- a/bench/faultproxy/fault_proxy.cpp
+++ b/bench/faultproxy/fault_proxy.cpp
@@ -25,23 +25,9 @@
 
 constexpr int longest_wait_ms = 20;
 
-sockaddr_in to_sockaddr(const std::string& text)
-{
-    const auto address = socket_address::parse(text);
-    if (!address)
-    {
-        throw std::runtime_error("not an address: " + text);
-    }
-    sockaddr_in result{};
-    result.sin_family = AF_INET;
-    result.sin_port = htons(address->port);
-    inet_pton(AF_INET, address->host.c_str(), &result.sin_addr);
-    return result;
-}
-
 int listen_on(const std::string& text)
 {
-    const sockaddr_in address = to_sockaddr(text);
+    const sockaddr_in address = socket_address::parse(text).value().native();
     const int socket_id = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     const int on = 1;
     setsockopt(socket_id, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -56,7 +42,7 @@
 
 int connect_to(const std::string& text)
 {
-    const sockaddr_in address = to_sockaddr(text);
+    const sockaddr_in address = socket_address::parse(text).value().native();
     const int socket_id = socket(AF_INET, SOCK_STREAM, 0);
     const auto* generic = reinterpret_cast<const sockaddr*>(&address);
     if (connect(socket_id, generic, sizeof address) != 0)
--- a/src/connection/agent_server.cpp
+++ b/src/connection/agent_server.cpp
@@ -1,6 +1,7 @@
 #include "connection/agent_server.hpp"
 
 #include "connection/admin_answers.hpp"
+#include "connection/common_admin_routes.hpp"
 #include "connection/http_exchange.hpp"
 #include "connection/platform_reader.hpp"
 #include "process/log.hpp"
@@ -54,9 +55,11 @@
     router_.bind(settings_.listen);
     thread_ = std::thread([this] { run_loop(); });
     start_platform_reader();
-    admin_ = std::make_unique<admin_server>(settings_.instance.admin_address,
-                                            settings_.instance.admin_key,
-                                            admin_routes());
+    admin_ = std::make_unique<admin_server>(
+        settings_.instance.admin_address, settings_.instance.admin_key,
+        common_admin_routes({commands_, store_, trail_, metrics_,
+                             [this] { begin_drain(); },
+                             [this] { return status_answer(); }}));
     log_notice("agent", "Agent started.",
                {{"listen", settings_.listen},
                 {"server", settings_.core.server},
@@ -144,40 +147,6 @@
     drained_ = core_.state() == agent_state::leaving && core_.drained();
 }
 
-std::vector<admin_route> agent_server::admin_routes()
-{
-    using exchange_pointer = std::shared_ptr<http_exchange>;
-    return {
-        {"GET", "/v1/status",
-         [this](const exchange_pointer& exchange)
-         { on_core(exchange, [this] { return status_answer(); }); }},
-        {"GET", "/v1/configuration",
-         [this](const exchange_pointer& exchange) {
-             on_core(exchange, [this] { return configuration_answer(store_); });
-         }},
-        {"GET", "/v1/audit",
-         [this](const exchange_pointer& exchange)
-         { exchange->respond(audit_answer(trail_)); }},
-        {"POST", "/v1/drain",
-         [this](const exchange_pointer& exchange)
-         {
-             trail_.record({"drain", store_.position(), "", "by the API"});
-             begin_drain();
-             exchange->respond(json_answer({{"draining", true}}));
-         }},
-        {"GET", "/metrics",
-         [this](const exchange_pointer& exchange)
-         { exchange->respond(text_answer(metrics_.page())); }},
-    };
-}
-
-void agent_server::on_core(const std::shared_ptr<http_exchange>& exchange,
-                           std::function<http_answer()> make)
-{
-    commands_.push([exchange, make = std::move(make)]
-                   { exchange->respond(make()); });
-}
-
 http_answer agent_server::status_answer()
 {
     const auto position = store_.position();
@@ -197,11 +166,6 @@
 
 void agent_server::start_platform_reader()
 {
-    platform_reader_settings settings;
-    settings.configuration_service = settings_.instance.configuration_service;
-    settings.instance_list = settings_.instance.instance_list;
-    settings.schedule.instance = settings_.instance.name;
-    settings.schedule.zone = settings_.instance.zone;
     platform_reader_events events = document_events(
         commands_, store_, [this] { core_.announce_configuration(); });
     events.instances = [this](const std::vector<instance_row>& rows)
@@ -215,8 +179,8 @@
             begin_drain();
         }
     };
-    platform_ = std::make_unique<platform_reader>(std::move(settings),
-                                                  std::move(events));
+    platform_ = std::make_unique<platform_reader>(
+        platform_reader_settings::of(settings_.instance), std::move(events));
 }
 
 } // namespace mangolink
--- a/src/connection/agent_server.hpp
+++ b/src/connection/agent_server.hpp
@@ -56,9 +56,6 @@
     bool receive_all();
     void publish_state();
 
-    std::vector<admin_route> admin_routes();
-    void on_core(const std::shared_ptr<http_exchange>& exchange,
-                 std::function<http_answer()> make);
     http_answer status_answer();
     void start_platform_reader();
 
--- a/src/connection/entry_admin.cpp
+++ b/src/connection/entry_admin.cpp
@@ -1,4 +1,5 @@
 #include "connection/admin_answers.hpp"
+#include "connection/common_admin_routes.hpp"
 #include "connection/entry_server.hpp"
 #include "connection/http_exchange.hpp"
 
@@ -41,60 +42,30 @@
 std::vector<admin_route> entry_server::admin_routes()
 {
     using exchange_pointer = std::shared_ptr<http_exchange>;
-    const auto on_core_route = [this](http_answer (entry_server::*make)())
+    auto routes = common_admin_routes({commands_, store_, trail_, metrics_,
+                                       [this] { begin_drain(); },
+                                       [this] { return status_answer(); }});
+    const auto add = [&](std::string path, http_answer (entry_server::*make)())
     {
-        return [this, make](const exchange_pointer& exchange)
-        { on_core(exchange, [this, make] { return (this->*make)(); }); };
+        routes.push_back({"GET", std::move(path),
+                          [this, make](const exchange_pointer& exchange)
+                          {
+                              answer_on_loop(commands_, exchange,
+                                             [this, make]
+                                             { return (this->*make)(); });
+                          }});
     };
-    return {
-        {"GET", "/v1/status", on_core_route(&entry_server::status_answer)},
-        {"GET", "/v1/members", on_core_route(&entry_server::members_answer)},
-        {"GET", "/v1/customers",
-         on_core_route(&entry_server::customers_answer)},
-        {"GET", "/v1/configuration",
-         [this](const exchange_pointer& exchange) {
-             on_core(exchange, [this] { return configuration_answer(store_); });
-         }},
-        {"GET", "/v1/audit",
-         [this](const exchange_pointer& exchange)
-         { exchange->respond(audit_answer(trail_)); }},
+    add("/v1/members", &entry_server::members_answer);
+    add("/v1/customers", &entry_server::customers_answer);
+    routes.push_back(
         {"GET", "/v1/explain",
          [this](const exchange_pointer& exchange)
          {
-             on_core(exchange,
-                     [this, exchange]
-                     {
-                         return explain_answer(std::string(
-                             exchange->request().argument("pipeline")));
-                     });
-         }},
-        {"POST", "/v1/patches/check",
-         [this](const exchange_pointer& exchange)
-         {
-             on_core(exchange,
-                     [this, exchange] {
-                         return check_patch_answer(store_,
-                                                   exchange->request().body);
-                     });
-         }},
-        {"POST", "/v1/drain",
-         [this](const exchange_pointer& exchange)
-         {
-             trail_.record({"drain", store_.position(), "", "by the API"});
-             begin_drain();
-             exchange->respond(json_answer({{"draining", true}}));
-         }},
-        {"GET", "/metrics",
-         [this](const exchange_pointer& exchange)
-         { exchange->respond(text_answer(metrics_.page())); }},
-    };
-}
-
-void entry_server::on_core(const std::shared_ptr<http_exchange>& exchange,
-                           std::function<http_answer()> make)
-{
-    commands_.push([exchange, make = std::move(make)]
-                   { exchange->respond(make()); });
+             const std::string name(exchange->request().argument("pipeline"));
+             answer_on_loop(commands_, exchange,
+                            [this, name] { return explain_answer(name); });
+         }});
+    return routes;
 }
 
 http_answer entry_server::status_answer()
--- a/src/connection/entry_server.cpp
+++ b/src/connection/entry_server.cpp
@@ -338,11 +338,6 @@
 
 void entry_server::start_platform_reader()
 {
-    platform_reader_settings settings;
-    settings.configuration_service = settings_.instance.configuration_service;
-    settings.instance_list = settings_.instance.instance_list;
-    settings.schedule.instance = settings_.instance.name;
-    settings.schedule.zone = settings_.instance.zone;
     platform_reader_events events = document_events(
         commands_, store_, [this] { core_.configuration_changed(); });
     events.instances = [this](const std::vector<instance_row>& rows)
@@ -358,8 +353,8 @@
         commands_.push([this, leaving = std::move(leaving)]
                        { core_.instances_leaving(leaving); });
     };
-    platform_ = std::make_unique<platform_reader>(std::move(settings),
-                                                  std::move(events));
+    platform_ = std::make_unique<platform_reader>(
+        platform_reader_settings::of(settings_.instance), std::move(events));
 }
 
 } // namespace mangolink
--- a/src/connection/entry_server.hpp
+++ b/src/connection/entry_server.hpp
@@ -16,6 +16,7 @@
 #include <absl/random/random.h>
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -81,8 +82,6 @@
     milliseconds time_to_wait(boot_clock::time_point now) const;
 
     std::vector<admin_route> admin_routes();
-    void on_core(const std::shared_ptr<http_exchange>& exchange,
-                 std::function<http_answer()> make);
     http_answer status_answer();
     http_answer members_answer();
     http_answer customers_answer();
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -4,7 +4,6 @@
 #include "connection/http_exchange.hpp"
 #include "process/socket_address.hpp"
 
-#include <arpa/inet.h>
 #include <microhttpd.h>
 #include <unistd.h>
 
@@ -25,20 +24,6 @@
     return MHD_YES;
 }
 
-sockaddr_in to_sockaddr(const std::string& text)
-{
-    const auto address = socket_address::parse(text);
-    if (!address)
-    {
-        throw std::runtime_error("not an address: " + text);
-    }
-    sockaddr_in result{};
-    result.sin_family = AF_INET;
-    result.sin_port = htons(address->port);
-    inet_pton(AF_INET, address->host.c_str(), &result.sin_addr);
-    return result;
-}
-
 } // namespace
 
 struct http_server::callbacks final
@@ -148,7 +133,12 @@
       watch_(std::make_unique<connection_watch>(connection_watch_settings{
           settings_.read_limit, settings_.idle_limit, settings_.slow_answer}))
 {
-    sockaddr_in address = to_sockaddr(settings_.address);
+    const auto parsed = socket_address::parse(settings_.address);
+    if (!parsed)
+    {
+        throw std::runtime_error("not an address: " + settings_.address);
+    }
+    sockaddr_in address = parsed->native();
     const unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD |
                            MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
     daemon_ = MHD_start_daemon(
--- a/src/connection/platform_reader.cpp
+++ b/src/connection/platform_reader.cpp
@@ -1,6 +1,7 @@
 #include "connection/platform_reader.hpp"
 
 #include "connection/command_queue.hpp"
+#include "process/instance_settings.hpp"
 #include "process/log.hpp"
 #include "version/configuration_store.hpp"
 
@@ -37,6 +38,17 @@
 
 } // namespace
 
+platform_reader_settings
+platform_reader_settings::of(const instance_settings& instance)
+{
+    platform_reader_settings result;
+    result.configuration_service = instance.configuration_service;
+    result.instance_list = instance.instance_list;
+    result.schedule.instance = instance.name;
+    result.schedule.zone = instance.zone;
+    return result;
+}
+
 platform_reader_events document_events(command_queue& commands,
                                        configuration_store& store,
                                        const std::function<void()>& changed)
--- a/src/connection/platform_reader.hpp
+++ b/src/connection/platform_reader.hpp
@@ -20,6 +20,7 @@
 
 class command_queue;
 class configuration_store;
+struct instance_settings;
 
 /// Where the platform's services are.
 struct platform_reader_settings final
@@ -30,6 +31,9 @@
     milliseconds list_interval{1000};
     milliseconds call_limit{2000};
     reader_schedule_settings schedule;
+
+    /// Returns the settings for a process with these instance settings.
+    static platform_reader_settings of(const instance_settings& instance);
 };
 
 /// What the reader reports, on its own threads.
--- a/src/process/entry_core.cpp
+++ b/src/process/entry_core.cpp
@@ -147,10 +147,9 @@
     return std::min(executor_.next_deadline(), next_heartbeat_);
 }
 
-entry_core::issued_key
-entry_core::issue_key(const pipeline& what,
-                      std::chrono::system_clock::time_point wall,
-                      boot_clock::time_point now)
+issued_key entry_core::issue_key(const pipeline& what,
+                                 std::chrono::system_clock::time_point wall,
+                                 boot_clock::time_point now)
 {
     const auto stage =
         std::find_if(what.stages.begin(), what.stages.end(),
--- a/src/process/entry_core.hpp
+++ b/src/process/entry_core.hpp
@@ -33,6 +33,13 @@
     double retry_reserve = 50.0; ///< retries allowed at once
 };
 
+/// A fresh idempotency key, or why there is none.
+struct issued_key final
+{
+    result_code code = result_code::complete;
+    std::string key;
+};
+
 /// Decides for an entry: membership of its agents, their heartbeats, requests
 /// and the exchange of configuration with agents.
 ///
@@ -69,11 +76,6 @@
 
     /// Returns a fresh key for a pipeline, or a code when it has no
     /// non-idempotent stage or no usable backend server.
-    struct issued_key final
-    {
-        result_code code = result_code::complete;
-        std::string key;
-    };
     issued_key issue_key(const pipeline& what,
                          std::chrono::system_clock::time_point wall,
                          boot_clock::time_point now);
--- a/src/process/member_table.cpp
+++ b/src/process/member_table.cpp
@@ -139,9 +139,7 @@
     row->unreported = 0;
     if (row->state != agent_state::leaving)
     {
-        row->state = load.state() == 1   ? agent_state::ready
-                     : load.state() == 2 ? agent_state::leaving
-                                         : agent_state::starting;
+        row->state = agent_state_from_wire(load.state());
     }
 }
 
--- a/src/process/socket_address.cpp
+++ b/src/process/socket_address.cpp
@@ -28,6 +28,15 @@
     return result;
 }
 
+sockaddr_in socket_address::native() const
+{
+    sockaddr_in result{};
+    result.sin_family = AF_INET;
+    result.sin_port = htons(port);
+    inet_pton(AF_INET, host.c_str(), &result.sin_addr);
+    return result;
+}
+
 std::string socket_address::text() const
 {
     return host + ":" + std::to_string(port);
--- a/src/process/socket_address.hpp
+++ b/src/process/socket_address.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <netinet/in.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,6 +19,9 @@
     /// Reads "127.0.0.1:7000"; empty when the text is not of this form.
     static std::optional<socket_address> parse(std::string_view text);
 
+    /// Returns the form that the system calls take.
+    sockaddr_in native() const;
+
     std::string text() const;
 };
 
--- a/src/request/run_executor.cpp
+++ b/src/request/run_executor.cpp
@@ -1,6 +1,7 @@
 #include "request/run_executor.hpp"
 
 #include "process/member_table.hpp"
+#include "request/attempt_message.hpp"
 #include "request/backend_selector.hpp"
 #include "request/customer_limiter.hpp"
 #include "request/retry_budget.hpp"
@@ -30,19 +31,12 @@
                      code) != retryable_refusals.end();
 }
 
-void set_ref(wire::attempt_ref& ref, const pipeline_run& run,
-             const stage_attempt& attempt)
-{
-    ref.set_request_id(run.request.id.bytes());
-    ref.set_stage(attempt.stage);
-    ref.set_attempt(attempt.number);
-}
-
 } // namespace
 
 run_executor::run_executor(run_executor_settings settings,
                            run_executor_parts parts)
-    : settings_(settings), parts_(parts)
+    : settings_(settings), parts_(parts),
+      planner_(parts.estimator, parts.selector)
 {
 }
 
@@ -55,7 +49,7 @@
     pipeline_run& run = *owned;
     deadlines_.emplace(run.request.deadline, id);
     runs_.emplace(id, std::move(owned));
-    const verdict admitted = admit(run, now);
+    const time_verdict admitted = admit(run, now);
     if (admitted.code != result_code::complete)
     {
         end(run, admitted);
@@ -189,8 +183,8 @@
                               : deadlines_.begin()->first;
 }
 
-run_executor::verdict run_executor::admit(const pipeline_run& run,
-                                          boot_clock::time_point now)
+time_verdict run_executor::admit(const pipeline_run& run,
+                                 boot_clock::time_point now)
 {
     if (runs_.size() > settings_.max_runs)
     {
@@ -205,52 +199,7 @@
     {
         return {};
     }
-    return time_check(run, now);
-}
-
-run_executor::verdict run_executor::time_check(const pipeline_run& run,
-                                               boot_clock::time_point now)
-{
-    const auto& stages = run.request.what->stages;
-    microseconds expected{0};
-    microseconds longest_wait{0};
-    for (std::uint32_t i = run.stage; i < stages.size(); ++i)
-    {
-        const auto best = parts_.selector.select(stages[i].pool, {}, now);
-        if (!best && !run.request.key)
-        {
-            return {result_code::no_server, seconds(1)};
-        }
-        const microseconds wait = best ? best->wait : microseconds(0);
-        longest_wait = std::max(longest_wait, wait);
-        expected += wait + expected_work(run, i);
-    }
-    if (now + expected > run.request.deadline)
-    {
-        return {result_code::deadline_unreachable,
-                std::max<microseconds>(longest_wait, milliseconds(100))};
-    }
-    return {};
-}
-
-microseconds run_executor::expected_work(const pipeline_run& run,
-                                         std::uint32_t stage) const
-{
-    const pipeline_stage& what = run.request.what->stages[stage];
-    const auto learned = parts_.estimator.estimate(what.estimate_key);
-    const double units = codec_of(what.kind).work_units(run.request.context);
-    return std::chrono::duration_cast<microseconds>(learned.mean * units);
-}
-
-microseconds run_executor::reserve_for_later(const pipeline_run& run) const
-{
-    microseconds reserve{0};
-    for (std::uint32_t i = run.stage + 1; i < run.request.what->stages.size();
-         ++i)
-    {
-        reserve += expected_work(run, i);
-    }
-    return reserve;
+    return planner_.check(run, now);
 }
 
 void run_executor::begin_stage(pipeline_run& run, boot_clock::time_point now)
@@ -264,16 +213,14 @@
 
 void run_executor::dispatch(pipeline_run& run, boot_clock::time_point now)
 {
-    const auto remaining =
-        std::chrono::duration_cast<microseconds>(run.request.deadline - now);
-    const microseconds budget = remaining - reserve_for_later(run);
+    const microseconds budget = planner_.stage_budget(run, now);
     if (budget <= microseconds(0))
     {
         end(run, {result_code::deadline_unreachable});
         return;
     }
     member_id chosen{};
-    const verdict choice = choose_member(run, now, chosen);
+    const time_verdict choice = choose_member(run, now, chosen);
     if (choice.code != result_code::complete)
     {
         end(run, choice);
@@ -282,9 +229,9 @@
     send_attempt(run, chosen, budget, now);
 }
 
-run_executor::verdict run_executor::choose_member(const pipeline_run& run,
-                                                  boot_clock::time_point now,
-                                                  member_id& chosen)
+time_verdict run_executor::choose_member(const pipeline_run& run,
+                                         boot_clock::time_point now,
+                                         member_id& chosen)
 {
     const pipeline_stage& stage = run.current_stage();
     if (run.request.key && !stage.idempotent)
@@ -312,10 +259,8 @@
 void run_executor::send_attempt(pipeline_run& run, member_id where,
                                 microseconds budget, boot_clock::time_point now)
 {
-    const pipeline_stage& stage = run.current_stage();
-    const stage_codec& codec = codec_of(stage.kind);
     const member& target = *parts_.members.find(where);
-    const microseconds work = expected_work(run, run.stage);
+    const microseconds work = planner_.expected_work(run, run.stage);
 
     stage_attempt attempt;
     attempt.where = where;
@@ -324,26 +269,7 @@
     attempt.number = run.attempts_of_stage();
 
     wire::envelope message;
-    message.set_receiver(attempt.addressed.value());
-    wire::submit& submit = *message.mutable_submit();
-    submit.set_request_id(run.request.id.bytes());
-    submit.set_stage(run.stage);
-    submit.set_attempt(attempt.number);
-    submit.set_kind(static_cast<std::uint32_t>(stage.kind));
-    submit.set_path(stage.path);
-    submit.set_body(
-        codec.request_body(run.request.context, stage, run.request.priority));
-    submit.set_budget_us(to_wire(budget));
-    submit.set_customer(run.request.who->name);
-    submit.set_weight(run.request.who->share);
-    submit.set_priority(run.request.priority);
-    submit.set_expected_work_us(to_wire(work));
-    submit.set_idempotent(stage.idempotent);
-    submit.set_streamed(codec.streamed);
-    if (!stage.idempotent)
-    {
-        submit.set_idempotency_key(run.request.key_text);
-    }
+    write_submit(run, attempt, budget, work, message);
 
     stage_report& report = run.reports.back();
     report.server = target.name;
@@ -351,7 +277,7 @@
     ++report.attempts;
     if (target.where == distance::other_region)
     {
-        report.cross_region_bytes += submit.ByteSizeLong();
+        report.cross_region_bytes += message.ByteSizeLong();
     }
     const bool handed_over = parts_.actions.send(where, message);
     run.attempts.push_back(std::move(attempt));
@@ -453,7 +379,7 @@
     begin_stage(run, now);
 }
 
-void run_executor::end(pipeline_run& run, verdict why)
+void run_executor::end(pipeline_run& run, time_verdict why)
 {
     run_result result;
     result.code = why.code;
@@ -489,8 +415,7 @@
             continue;
         }
         wire::envelope message;
-        message.set_receiver(attempt.addressed.value());
-        set_ref(*message.mutable_cancel()->mutable_ref(), run, attempt);
+        write_cancel(run, attempt, message);
         parts_.actions.send(attempt.where, message);
         set_state(attempt, attempt_state::lost);
     }
--- a/src/request/run_executor.hpp
+++ b/src/request/run_executor.hpp
@@ -2,6 +2,7 @@
 
 #include "process/clock.hpp"
 #include "process/member.hpp"
+#include "request/deadline_planner.hpp"
 #include "request/pipeline_run.hpp"
 #include "request/result_code.hpp"
 
@@ -93,22 +94,12 @@
         stage_attempt* attempt = nullptr;
     };
 
-    struct verdict final
-    {
-        result_code code = result_code::complete;
-        microseconds retry_after{0};
-    };
-
-    verdict admit(const pipeline_run& run, boot_clock::time_point now);
-    verdict time_check(const pipeline_run& run, boot_clock::time_point now);
-    microseconds expected_work(const pipeline_run& run,
-                               std::uint32_t stage) const;
-    microseconds reserve_for_later(const pipeline_run& run) const;
+    time_verdict admit(const pipeline_run& run, boot_clock::time_point now);
 
     void begin_stage(pipeline_run& run, boot_clock::time_point now);
     void dispatch(pipeline_run& run, boot_clock::time_point now);
-    verdict choose_member(const pipeline_run& run, boot_clock::time_point now,
-                          member_id& chosen);
+    time_verdict choose_member(const pipeline_run& run,
+                               boot_clock::time_point now, member_id& chosen);
     void send_attempt(pipeline_run& run, member_id where, microseconds budget,
                       boot_clock::time_point now);
     void retry_or_end(pipeline_run& run, result_code code, bool proven,
@@ -117,7 +108,7 @@
     void stage_answered(pipeline_run& run, stage_attempt& attempt,
                         wire::finished& message, boot_clock::time_point now);
     void complete_stage(pipeline_run& run, boot_clock::time_point now);
-    void end(pipeline_run& run, verdict why);
+    void end(pipeline_run& run, time_verdict why);
     void withdraw_pending(pipeline_run& run);
     void set_state(stage_attempt& attempt, attempt_state state);
     found_attempt find(member_id from, incarnation sender,
@@ -125,6 +116,7 @@
 
     run_executor_settings settings_;
     run_executor_parts parts_;
+    deadline_planner planner_;
     absl::flat_hash_map<request_id, run_pointer> runs_;
     absl::btree_set<std::pair<boot_clock::time_point, request_id>> deadlines_;
 };
--- a/tests/integration/bad_peer_test.cpp
+++ b/tests/integration/bad_peer_test.cpp
@@ -5,7 +5,6 @@
 #include "support/story.hpp"
 #include "wire/mangolink.pb.h"
 
-#include <arpa/inet.h>
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -29,12 +28,9 @@
     explicit raw_caller(const std::string& text)
         : socket_(socket(AF_INET, SOCK_STREAM, 0))
     {
-        const auto address = *socket_address::parse(text);
-        sockaddr_in where{};
-        where.sin_family = AF_INET;
-        where.sin_port = htons(address.port);
-        inet_pton(AF_INET, address.host.c_str(), &where.sin_addr);
-        connect(socket_, reinterpret_cast<sockaddr*>(&where), sizeof where);
+        const sockaddr_in where = socket_address::parse(text)->native();
+        connect(socket_, reinterpret_cast<const sockaddr*>(&where),
+                sizeof where);
     }
     ~raw_caller() { close(socket_); }
     raw_caller(const raw_caller&) = delete;
--- a/tests/unit/engine_standin_test.cpp
+++ b/tests/unit/engine_standin_test.cpp
@@ -43,10 +43,10 @@
                 []
                 {
                     engine_model resumed({});
-                    engine.add({1, "a", 5, 5, 3});
-                    CPPUNIT_ASSERT_EQUAL(3U, engine.step().tokens[0].index);
-                    CPPUNIT_ASSERT(engine.step().tokens[0].last);
-                    CPPUNIT_ASSERT(engine.idle());
+                    resumed.add({1, "a", 5, 5, 3});
+                    CPPUNIT_ASSERT_EQUAL(3U, resumed.step().tokens[0].index);
+                    CPPUNIT_ASSERT(resumed.step().tokens[0].last);
+                    CPPUNIT_ASSERT(resumed.idle());
                 });
     }
 
