Test leaving, peers' feed, a stale service and a returning entry

Cause: these properties had no test; writing the one on a stale service showed that an elected reader asked it again at once, without end. Change: reader_schedule tells news, a watch that waited and a useless answer apart and backs off on the last; tests with real processes and a unit test.

--- a/bench/capacity/capacity_main.cpp
+++ b/bench/capacity/capacity_main.cpp
@@ -341,7 +341,7 @@
             reader_schedule& row = *schedules[index];
             const auto end =
                 row.elected() ? std::min(now + watch, next_change) : now;
-            row.read_ended(true, end);
+            row.read_ended(read_end::waited, end);
             queue.emplace(row.next_read(), index);
         }
         for (const auto& row : schedules)
--- a/src/connection/platform_reader.cpp
+++ b/src/connection/platform_reader.cpp
@@ -36,6 +36,14 @@
     return result;
 }
 
+/// Returns the number of a document, 0 when it has none.
+std::uint64_t number_of(const json& document)
+{
+    const bool readable = document.is_object() && document.contains("number") &&
+                          document["number"].is_number_unsigned();
+    return readable ? document["number"].get<std::uint64_t>() : 0;
+}
+
 } // namespace
 
 platform_reader_settings
@@ -121,13 +129,13 @@
         {
             return;
         }
-        const bool succeeded = read_configuration_once(watch);
+        const read_end end = read_configuration_once(watch);
         const std::lock_guard lock(schedule_mutex_);
-        schedule_.read_ended(succeeded, boot_clock::now());
+        schedule_.read_ended(end, boot_clock::now());
     }
 }
 
-bool platform_reader::read_configuration_once(bool watch)
+read_end platform_reader::read_configuration_once(bool watch)
 {
     const std::uint64_t number = events_.current_number();
     const auto wait =
@@ -137,26 +145,41 @@
                "/v1/configuration/changes?after=" + std::to_string(number) +
                "&wait_ms=" + std::to_string(wait.count());
     call.limit = wait + settings_.call_limit;
+    const auto begin = boot_clock::now();
     const http_result result = configuration_client_.call(call);
     const json parsed = json::parse(result.body, nullptr, false);
     if (result.status != ok || !parsed.is_object())
     {
         log_detail("configuration", "Service gave no answer.",
                    {{"reason", result.error}});
-        return false;
+        return read_end::failed;
+    }
+    if (offer_documents(parsed, number))
+    {
+        return read_end::news;
     }
-    if (parsed.contains("whole"))
+    const bool waited =
+        wait > milliseconds(0) && boot_clock::now() - begin >= wait / 2;
+    return waited ? read_end::waited : read_end::useless;
+}
+
+bool platform_reader::offer_documents(const json& answer, std::uint64_t number)
+{
+    bool newer = false;
+    if (answer.contains("whole"))
     {
-        events_.whole(parsed["whole"].dump());
+        newer = number_of(answer["whole"]) > number;
+        events_.whole(answer["whole"].dump());
     }
-    if (parsed.contains("documents") && parsed["documents"].is_array())
+    if (answer.contains("documents") && answer["documents"].is_array())
     {
-        for (const auto& document : parsed["documents"])
+        for (const auto& document : answer["documents"])
         {
+            newer = newer || number_of(document) > number;
             events_.patch(document.dump());
         }
     }
-    return true;
+    return newer;
 }
 
 void platform_reader::read_instances()
--- a/src/connection/platform_reader.hpp
+++ b/src/connection/platform_reader.hpp
@@ -6,6 +6,7 @@
 #include "version/reader_schedule.hpp"
 
 #include <absl/random/random.h>
+#include <nlohmann/json_fwd.hpp>
 
 #include <atomic>
 #include <cstdint>
@@ -66,7 +67,9 @@
 
 private:
     void read_configuration();
-    bool read_configuration_once(bool watch);
+    read_end read_configuration_once(bool watch);
+    /// Passes documents on; returns whether one is newer than the number.
+    bool offer_documents(const nlohmann::json& answer, std::uint64_t number);
     void read_instances();
     bool pause_until(boot_clock::time_point when);
 
--- a/src/version/reader_schedule.cpp
+++ b/src/version/reader_schedule.cpp
@@ -45,9 +45,9 @@
                                                            random_, 0, spread));
 }
 
-void reader_schedule::read_ended(bool succeeded, boot_clock::time_point now)
+void reader_schedule::read_ended(read_end end, boot_clock::time_point now)
 {
-    if (!succeeded)
+    if (end == read_end::failed || (elected_ && end == read_end::useless))
     {
         next_ = now + jittered(backoff_);
         backoff_ = std::min(backoff_ * 2, settings_.retry_most);
--- a/src/version/reader_schedule.hpp
+++ b/src/version/reader_schedule.hpp
@@ -24,6 +24,15 @@
     milliseconds retry_most{15'000};
 };
 
+/// How a read of the configuration service ended.
+enum class read_end : std::uint8_t
+{
+    failed,  ///< no answer
+    useless, ///< an answer at once that is not newer: the service is stale
+    waited,  ///< a watch that ended without news
+    news     ///< something newer
+};
+
 /// Decides when this process reads the configuration service, so that the
 /// number of reads does not grow with the fleet.
 ///
@@ -49,7 +58,7 @@
     void begin(boot_clock::time_point now);
 
     /// Records how a read ended and sets the time of the next.
-    void read_ended(bool succeeded, boot_clock::time_point now);
+    void read_ended(read_end end, boot_clock::time_point now);
 
 private:
     milliseconds jittered(milliseconds mean);
--- /dev/null
+++ b/tests/integration/membership_test.cpp
@@ -0,0 +1,203 @@
+#include "lab/deployment.hpp"
+#include "support/foundry_parts.hpp"
+#include "support/story.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <thread>
+
+namespace mangolink::test
+{
+namespace
+{
+
+using nlohmann::json;
+using namespace mangolink::bench;
+
+constexpr const char* good_body = R"({"input": "tin"})";
+
+json status_of(const deployment& system, const std::string& process)
+{
+    const auto result = system.admin(process, "GET", "/v1/status");
+    return json::parse(result.body, nullptr, false);
+}
+
+bool reaches_number(const deployment& system, const std::string& process,
+                    std::uint64_t number)
+{
+    return wait_until(
+        [&]
+        {
+            const json status = status_of(system, process);
+            return status.is_object() &&
+                   status["configuration_number"] == number;
+        });
+}
+
+std::string patch(std::uint64_t base)
+{
+    const json change{{"op", "add"},
+                      {"path", "/customers/new-" + std::to_string(base)},
+                      {"value", json::object()}};
+    return json{{"base", base},
+                {"number", base + 1},
+                {"author", "test"},
+                {"changes", json::array({change})}}
+        .dump();
+}
+
+} // namespace
+
+class membership_test final : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(membership_test);
+    CPPUNIT_TEST(instance_list_shows_leaving);
+    CPPUNIT_TEST(configuration_reaches_those_without_the_service);
+    CPPUNIT_TEST(stale_service_does_not_turn_back);
+    CPPUNIT_TEST(entry_returns_on_its_address);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void instance_list_shows_leaving()
+    {
+        deployment system({{"enc-1", "encoders"}, {"enc-2", "encoders"}},
+                          pipelines_named({"question"}), foundry_customers());
+        system.start_all();
+        system.platform("/control/instances", R"([
+            {"name": "enc-1", "zone": "zone-a", "state": "leaving"},
+            {"name": "enc-2", "zone": "zone-a", "state": "live"},
+            {"name": "entry-1", "zone": "zone-a", "state": "live"}])");
+        section("its agent ends by itself",
+                [&]
+                {
+                    CPPUNIT_ASSERT_EQUAL(
+                        0, system.process("enc-1").wait(milliseconds(20000)));
+                });
+        section("all work goes to the other",
+                [&]
+                {
+                    const std::size_t before = system.executions().size();
+                    for (int i = 0; i < 10; ++i)
+                    {
+                        CPPUNIT_ASSERT_EQUAL(
+                            200U,
+                            system.request("entry-1", "question", good_body)
+                                .status);
+                    }
+                    const json rows = system.executions();
+                    CPPUNIT_ASSERT_EQUAL(before + 10, rows.size());
+                    for (const auto& row : rows)
+                    {
+                        CPPUNIT_ASSERT_EQUAL(std::string("enc-2"),
+                                             row["server"].get<std::string>());
+                    }
+                });
+    }
+
+    void configuration_reaches_those_without_the_service()
+    {
+        deployment system({{"enc-1", "encoders"}, {"enc-2", "encoders"}},
+                          pipelines_named({"question"}), foundry_customers());
+        const std::string cut_off = "platform.configuration_service="
+                                    "\"127.0.0.1:1\"";
+        system.start_agent("enc-1", {cut_off});
+        system.start_agent("enc-2", {cut_off});
+        system.start_entry("entry-1");
+        section("the first value arrives over the links",
+                [&]
+                {
+                    CPPUNIT_ASSERT(reaches_number(system, "enc-1", 1));
+                    CPPUNIT_ASSERT(reaches_number(system, "enc-2", 1));
+                });
+        section("so do patches, in order",
+                [&]
+                {
+                    for (std::uint64_t base = 1; base <= 5; ++base)
+                    {
+                        system.platform("/control/publish", patch(base));
+                    }
+                    CPPUNIT_ASSERT(reaches_number(system, "enc-1", 6));
+                    CPPUNIT_ASSERT(reaches_number(system, "enc-2", 6));
+                });
+        section("and all hold the same digest",
+                [&]
+                {
+                    const json digest =
+                        status_of(system, "entry-1")["configuration_digest"];
+                    CPPUNIT_ASSERT_EQUAL(
+                        digest,
+                        status_of(system, "enc-1")["configuration_digest"]);
+                });
+    }
+
+    void stale_service_does_not_turn_back()
+    {
+        deployment system({{"enc-1", "encoders"}},
+                          pipelines_named({"question"}), foundry_customers());
+        system.start_all();
+        system.platform("/control/publish", patch(1));
+        CPPUNIT_ASSERT(reaches_number(system, "entry-1", 2));
+        CPPUNIT_ASSERT(reaches_number(system, "enc-1", 2));
+        system.platform("/control/mode", R"({"stale": true})");
+        system.process("entry-1").signal(SIGKILL);
+        system.process("entry-1").wait(milliseconds(5000));
+        system.start_entry("entry-1");
+        section("a fresh entry that reads an old value is put right by its "
+                "agents",
+                [&] { CPPUNIT_ASSERT(reaches_number(system, "entry-1", 2)); });
+        section("and stays there, whatever the service shows",
+                [&]
+                {
+                    const auto reads = [&]
+                    {
+                        return json::parse(
+                                   system.platform("/control/reads").body)
+                            .value("reads", 0);
+                    };
+                    const int before = reads();
+                    CPPUNIT_ASSERT(
+                        wait_until([&] { return reads() > before + 3; }));
+                    CPPUNIT_ASSERT_EQUAL(
+                        json(2),
+                        status_of(system, "entry-1")["configuration_number"]);
+                    CPPUNIT_ASSERT_EQUAL(
+                        json(2),
+                        status_of(system, "enc-1")["configuration_number"]);
+                });
+    }
+
+    void entry_returns_on_its_address()
+    {
+        deployment system({{"enc-1", "encoders", "pool", 400'000}},
+                          pipelines_named({"question"}), foundry_customers());
+        system.start_all();
+        http_result lost;
+        std::thread caller(
+            [&] { lost = system.request("entry-1", "question", good_body); });
+        CPPUNIT_ASSERT(
+            wait_until([&] { return system.executions().size() == 1; }));
+        system.process("entry-1").signal(SIGKILL);
+        system.process("entry-1").wait(milliseconds(5000));
+        caller.join();
+        system.start_entry("entry-1");
+        CPPUNIT_ASSERT(system.ready("entry-1", 1));
+        section("the caller of the dead entry got no answer",
+                [&] { CPPUNIT_ASSERT_EQUAL(0U, lost.status); });
+        section("a caller of the new one gets the answer to its own request",
+                [&]
+                {
+                    const auto result = system.request("entry-1", "question",
+                                                       R"({"input": "other"})");
+                    CPPUNIT_ASSERT_EQUAL(200U, result.status);
+                    const json rows = system.executions();
+                    CPPUNIT_ASSERT_EQUAL(
+                        rows.back()["request_id"],
+                        json::parse(result.body)["request_id"]);
+                });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(membership_test);
+
+} // namespace mangolink::test
--- /dev/null
+++ b/tests/unit/reader_schedule_test.cpp
@@ -0,0 +1,95 @@
+#include "support/story.hpp"
+#include "version/reader_schedule.hpp"
+
+#include <random>
+
+namespace mangolink::test
+{
+
+class reader_schedule_test final : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(reader_schedule_test);
+    CPPUNIT_TEST(few_are_elected);
+    CPPUNIT_TEST(reads_back_off);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void few_are_elected()
+    {
+        std::mt19937_64 random(1);
+        std::vector<instance_row> list;
+        for (int i = 0; i < 200; ++i)
+        {
+            list.push_back({"instance-" + std::to_string(i),
+                            i % 2 == 0 ? "zone-a" : "zone-b", false});
+        }
+        const auto elected_in = [&](const std::vector<instance_row>& rows)
+        {
+            std::vector<std::string> names;
+            for (const auto& row : rows)
+            {
+                reader_schedule schedule({row.name, row.zone}, random);
+                schedule.take_instances(rows);
+                if (schedule.elected())
+                {
+                    names.push_back(row.name);
+                }
+            }
+            return names;
+        };
+        const auto first = elected_in(list);
+        section("three in each zone",
+                [&] { CPPUNIT_ASSERT_EQUAL(std::size_t(6), first.size()); });
+        section("another takes the place of one that leaves",
+                [&]
+                {
+                    for (auto& row : list)
+                    {
+                        row.leaving = row.name == first.front();
+                    }
+                    std::erase_if(list, [](const instance_row& row)
+                                  { return row.leaving; });
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(6),
+                                         elected_in(list).size());
+                });
+        section("without a list everyone reads",
+                [&]
+                {
+                    const reader_schedule alone({"a", "zone-a"}, random);
+                    CPPUNIT_ASSERT(alone.elected());
+                });
+    }
+
+    void reads_back_off()
+    {
+        std::mt19937_64 random(1);
+        const boot_clock::time_point start{std::chrono::hours(1)};
+        const auto reads_in_a_minute = [&](read_end end)
+        {
+            reader_schedule schedule({"a", "zone-a"}, random);
+            schedule.begin(start);
+            int reads = 0;
+            auto now = schedule.next_read();
+            while (now < start + std::chrono::minutes(1) && reads < 1000)
+            {
+                ++reads;
+                schedule.read_ended(end, now);
+                now = schedule.next_read();
+            }
+            return reads;
+        };
+        section("a watch goes on at once",
+                [&] {
+                    CPPUNIT_ASSERT_EQUAL(1000,
+                                         reads_in_a_minute(read_end::waited));
+                });
+        section("a service that fails is asked ever less", [&]
+                { CPPUNIT_ASSERT(reads_in_a_minute(read_end::failed) < 20); });
+        section("so is one that answers at once with what is old", [&]
+                { CPPUNIT_ASSERT(reads_in_a_minute(read_end::useless) < 20); });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(reader_schedule_test);
+
+} // namespace mangolink::test
