Judge backend servers by slowdown, not by their mean service time

Cause: the smoothed service time of an agent is a mean over short and long calls, so an engine that had just served short ones looked fast and drew the work of all entries; streams reported load only at their end. Change: agents report time taken over time expected; a score is the work of this request times that; every eighth chunk carries a load report.

--- a/bench/capacity/capacity_main.cpp
+++ b/bench/capacity/capacity_main.cpp
@@ -198,8 +198,12 @@
         auto& selector = const_cast<backend_selector&>(entry.core->selector());
         std::size_t found = 0;
         const double each = nanoseconds_each(
-            200'000, [&](std::size_t)
-            { found += selector.select(index, {}, entry.now) ? 1 : 0; });
+            200'000,
+            [&](std::size_t) {
+                found += selector.select(index, {}, milliseconds(20), entry.now)
+                             ? 1
+                             : 0;
+            });
         std::cout << absl::StrFormat(
             "  %4d engines %5d customers: %7.0f ns a choice, %4d members, "
             "%8d bytes of state\n",
--- a/src/connection/entry_admin.cpp
+++ b/src/connection/entry_admin.cpp
@@ -134,7 +134,8 @@
     for (const auto& stage : what->stages)
     {
         json candidates = json::array();
-        for (const auto& row : core_.selector().explain(stage.pool, now))
+        for (const auto& row :
+             core_.selector().explain(stage.pool, microseconds(0), now))
         {
             const member& candidate = *core_.members().find(row.id);
             candidates.push_back(
@@ -142,7 +143,9 @@
                  {"zone", candidate.zone},
                  {"score_us", row.score.count()},
                  {"expected_wait_us", row.wait.count()},
-                 {"service_time_us", candidate.load.service_time.count()}});
+                 {"service_time_us", candidate.load.service_time.count()},
+                 {"slowdown", candidate.load.slowdown},
+                 {"occupancy", candidate.occupancy()}});
         }
         stages.push_back({{"stage", stage.name},
                           {"pool", version->pools()[stage.pool].name},
--- a/src/process/agent_core.cpp
+++ b/src/process/agent_core.cpp
@@ -19,6 +19,12 @@
 constexpr std::uint64_t whole_call = 0;
 constexpr std::uint64_t first_byte = 1;
 
+/// Names the smoothed ratio of time taken to time expected, in permille.
+constexpr std::uint64_t slowdown = 2;
+
+/// Every how many chunks the load is reported.
+constexpr std::uint32_t chunks_per_report = 8;
+
 std::optional<attempt_key> key_of(const std::string& id, std::uint32_t stage,
                                   std::uint32_t attempt)
 {
@@ -127,6 +133,10 @@
     chunk.set_sequence(row.chunks++);
     chunk.set_data(std::move(text));
     chunk.set_tokens(tokens);
+    if (chunk.sequence() % chunks_per_report == 0)
+    {
+        report_load(*chunk.mutable_load());
+    }
     send(row.route, message);
 }
 
@@ -150,7 +160,7 @@
     }
     if (answer.code == result_code::complete)
     {
-        estimator_.add(whole_call, elapsed(row.started, time.now));
+        learn(row, time.now);
     }
     if (!row.call.key.empty())
     {
@@ -163,6 +173,17 @@
     send_finished(ended.route, ended.key, answer, false, &ended, time.now);
 }
 
+void agent_core::learn(const call_row& row, boot_clock::time_point now)
+{
+    const microseconds taken = elapsed(row.started, now);
+    estimator_.add(whole_call, taken);
+    if (row.expected_work > microseconds(0))
+    {
+        estimator_.add(slowdown, microseconds(1000 * taken.count() /
+                                              row.expected_work.count()));
+    }
+}
+
 void agent_core::begin_leaving()
 {
     if (state_ == agent_state::leaving)
@@ -459,6 +480,8 @@
     load.set_queued_work_us(to_wire(queue_.total_work()));
     load.set_service_time_us(to_wire(estimator_.estimate(whole_call).mean));
     load.set_first_byte_us(to_wire(estimator_.estimate(first_byte).mean));
+    load.set_slowdown_permille(
+        static_cast<std::uint32_t>(estimator_.estimate(slowdown).mean.count()));
     load.set_state(static_cast<std::uint32_t>(state_));
 }
 
--- a/src/process/agent_core.hpp
+++ b/src/process/agent_core.hpp
@@ -121,6 +121,7 @@
                  const attempt_key& key, boot_clock::time_point now);
     void on_cancel(const std::string& route, const wire::cancel& message);
     void on_heartbeat(const std::string& route, const wire::heartbeat& message);
+    void learn(const call_row& row, boot_clock::time_point now);
     void start_queued(boot_clock::time_point now);
     bool can_finish(const call_row& row, boot_clock::time_point now) const;
     void refuse(const std::string& route, const attempt_key& key,
--- a/src/process/entry_core.cpp
+++ b/src/process/entry_core.cpp
@@ -158,7 +158,7 @@
     {
         return {result_code::key_invalid, {}};
     }
-    const auto chosen = selector_.select(stage->pool, {}, now);
+    const auto chosen = selector_.select(stage->pool, {}, microseconds(0), now);
     if (!chosen)
     {
         return {result_code::no_server, {}};
@@ -193,7 +193,11 @@
 void entry_core::take_load(member_id from, const wire::envelope& message,
                            boot_clock::time_point now)
 {
-    if (message.has_finished())
+    if (message.has_chunk() && message.chunk().has_load())
+    {
+        members_.report(from, message.chunk().load(), now);
+    }
+    else if (message.has_finished())
     {
         members_.report(from, message.finished().load(), now);
     }
--- a/src/process/member.hpp
+++ b/src/process/member.hpp
@@ -32,6 +32,7 @@
     microseconds queued_work{0};
     microseconds service_time{0};
     microseconds first_byte{0};
+    double slowdown = 1; ///< time that calls take over the time expected
 };
 
 /// One agent as an entry sees it.
--- a/src/process/member_table.cpp
+++ b/src/process/member_table.cpp
@@ -134,6 +134,8 @@
     row->load.queued_work = from_wire(load.queued_work_us());
     row->load.service_time = from_wire(load.service_time_us());
     row->load.first_byte = from_wire(load.first_byte_us());
+    row->load.slowdown =
+        load.slowdown_permille() > 0 ? load.slowdown_permille() / 1000.0 : 1;
     row->load_time = now;
     row->unreported_work = {};
     row->unreported = 0;
--- a/src/request/backend_selector.cpp
+++ b/src/request/backend_selector.cpp
@@ -16,6 +16,9 @@
 /// Scores within a quarter of the best count as equal; occupancy decides.
 constexpr std::int64_t tolerance_divisor = 4;
 
+/// Work of unknown length counts as this, so that slow servers show.
+constexpr microseconds least_work{1000};
+
 } // namespace
 
 struct backend_selector::policy_row final
@@ -34,9 +37,10 @@
 
 std::optional<scored_member>
 backend_selector::select(std::uint32_t pool,
-                         std::span<const member_id> excluded,
+                         std::span<const member_id> excluded, microseconds work,
                          boot_clock::time_point now)
 {
+    work_ = work;
     usable_.clear();
     for (const member_id id : members_.pool(pool))
     {
@@ -62,14 +66,15 @@
 }
 
 std::vector<scored_member>
-backend_selector::explain(std::uint32_t pool, boot_clock::time_point now) const
+backend_selector::explain(std::uint32_t pool, microseconds work,
+                          boot_clock::time_point now) const
 {
     std::vector<scored_member> result;
     for (const member_id id : members_.pool(pool))
     {
         if (members_.usable(*members_.find(id), now))
         {
-            result.push_back(score(id));
+            result.push_back(score(id, work));
         }
     }
     std::sort(result.begin(), result.end(),
@@ -135,14 +140,14 @@
         const std::size_t index =
             whole ? (first + i) % usable.size()
                   : absl::Uniform<std::size_t>(random_, 0, usable.size());
-        samples_.push_back(score(usable[index]));
+        samples_.push_back(score(usable[index], work_));
     }
 }
 
 std::optional<scored_member>
 backend_selector::choose_round_robin(std::span<const member_id> usable)
 {
-    return score(usable[turn_++ % usable.size()]);
+    return score(usable[turn_++ % usable.size()], work_);
 }
 
 std::optional<scored_member>
@@ -150,16 +155,18 @@
 {
     const auto fewer = [this](member_id a, member_id b)
     { return members_.find(a)->outstanding < members_.find(b)->outstanding; };
-    return score(*std::min_element(usable.begin(), usable.end(), fewer));
+    return score(*std::min_element(usable.begin(), usable.end(), fewer), work_);
 }
 
-scored_member backend_selector::score(member_id id) const
+scored_member backend_selector::score(member_id id, microseconds work) const
 {
     const member& candidate = *members_.find(id);
     scored_member result;
     result.id = id;
     result.wait = expected_wait(candidate);
-    result.score = result.wait + candidate.load.service_time;
+    const auto service = std::chrono::duration_cast<microseconds>(
+        std::max(work, least_work) * candidate.load.slowdown);
+    result.score = result.wait + service;
     if (candidate.where != distance::same_zone)
     {
         result.score += settings_.zone_price;
--- a/src/request/backend_selector.hpp
+++ b/src/request/backend_selector.hpp
@@ -41,17 +41,18 @@
     backend_selector(backend_selector_settings settings,
                      const member_table& members, absl::BitGenRef random);
 
-    /// Returns the best usable member of the pool that is not excluded, or
-    /// nothing when there is none.
+    /// Returns the best usable member of the pool for work of this expected
+    /// length that is not excluded, or nothing when there is none.
     std::optional<scored_member> select(std::uint32_t pool,
                                         std::span<const member_id> excluded,
+                                        microseconds work,
                                         boot_clock::time_point now);
 
     /// Returns the expected time in the queue of a member.
     microseconds expected_wait(const member& candidate) const;
 
     /// Returns every usable member of the pool with its score, best first.
-    std::vector<scored_member> explain(std::uint32_t pool,
+    std::vector<scored_member> explain(std::uint32_t pool, microseconds work,
                                        boot_clock::time_point now) const;
 
 private:
@@ -70,13 +71,14 @@
 
     /// Fills samples_ with scored candidates.
     void sample(std::span<const member_id> usable);
-    scored_member score(member_id id) const;
+    scored_member score(member_id id, microseconds work) const;
 
     backend_selector_settings settings_;
     const member_table& members_;
     absl::BitGenRef random_;
     policy_member policy_;
     std::uint64_t turn_ = 0;
+    microseconds work_{0};          ///< of the choice being made
     std::vector<member_id> usable_; ///< kept to avoid allocation
     std::vector<scored_member> samples_;
 };
--- a/src/request/deadline_planner.cpp
+++ b/src/request/deadline_planner.cpp
@@ -57,14 +57,15 @@
     microseconds longest_wait{0};
     for (std::uint32_t i = run.stage; i < stages.size(); ++i)
     {
-        const auto best = selector_.select(stages[i].pool, {}, now);
+        const microseconds work = expected_work(run, i);
+        const auto best = selector_.select(stages[i].pool, {}, work, now);
         if (!best && !run.request.key)
         {
             return {result_code::no_server, empty_pool_retry_after};
         }
         const microseconds wait = best ? best->wait : microseconds(0);
         longest_wait = std::max(longest_wait, wait);
-        expected += wait + expected_work(run, i);
+        expected += wait + work;
     }
     if (now + expected > run.request.deadline)
     {
--- a/src/request/run_executor.cpp
+++ b/src/request/run_executor.cpp
@@ -247,7 +247,8 @@
         return {};
     }
     const auto best =
-        parts_.selector.select(stage.pool, run.members_tried(), now);
+        parts_.selector.select(stage.pool, run.members_tried(),
+                               planner_.expected_work(run, run.stage), now);
     if (!best)
     {
         return {result_code::no_server, seconds(1)};
--- a/tests/integration/bad_peer_test.cpp
+++ b/tests/integration/bad_peer_test.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <stdexcept>
 #include <thread>
 
 namespace mangolink::test
@@ -29,8 +30,11 @@
         : socket_(socket(AF_INET, SOCK_STREAM, 0))
     {
         const sockaddr_in where = socket_address::parse(text)->native();
-        connect(socket_, reinterpret_cast<const sockaddr*>(&where),
-                sizeof where);
+        const auto* generic = reinterpret_cast<const sockaddr*>(&where);
+        if (connect(socket_, generic, sizeof where) != 0)
+        {
+            throw std::runtime_error("cannot connect to " + text);
+        }
     }
     ~raw_caller() { close(socket_); }
     raw_caller(const raw_caller&) = delete;
--- a/tests/integration/faults_test.cpp
+++ b/tests/integration/faults_test.cpp
@@ -117,6 +117,7 @@
                           "membership.silence_limit_ms=600"});
         system.faults({{{"route", "agent enc-1"}, {"cut", true}}});
         std::vector<http_result> results;
+        results.reserve(40);
         for (int i = 0; i < 40; ++i)
         {
             results.push_back(
@@ -139,6 +140,7 @@
                     system.faults({{{"route", "agent enc-1"}, {"cut", true}},
                                    {{"route", "agent enc-2"}, {"cut", true}}});
                     std::vector<http_result> refused;
+                    refused.reserve(10);
                     for (int i = 0; i < 10; ++i)
                     {
                         refused.push_back(
