Configure models with versions and adapters; log each end

Cause: the configuration had no models, so a pipeline could name one that no engine serves; the log did not tell how a request ended. Change: section models, checked; adapters reach the engine as model:adapter; one detail line per request with its id, code and outcome.

--- a/bench/lab/deployment.cpp
+++ b/bench/lab/deployment.cpp
@@ -268,7 +268,8 @@
     json value{{"pools", json::object()},
                {"backend_servers", json::object()},
                {"pipelines", plan_.pipelines},
-               {"customers", plan_.customers}};
+               {"customers", plan_.customers},
+               {"models", plan_.models}};
     for (const auto& row : plan_.servers)
     {
         value["pools"][row.pool] = json::object();
--- a/bench/lab/deployment_plan.cpp
+++ b/bench/lab/deployment_plan.cpp
@@ -50,6 +50,7 @@
     plan.entries.clear();
     plan.pipelines = example.at("pipelines");
     plan.customers = example.at("customers");
+    plan.models = example.value("models", json::object());
     const auto zones = zones_of(example);
     const auto wanted = [&](const zone_row& zone)
     { return region.empty() || zone.region == region; };
--- a/bench/lab/deployment_plan.hpp
+++ b/bench/lab/deployment_plan.hpp
@@ -37,6 +37,7 @@
     std::vector<entry_plan> entries{{"entry-1"}};
     nlohmann::json pipelines;
     nlohmann::json customers;
+    nlohmann::json models = nlohmann::json::object();
     std::uint16_t first_port = 0; ///< 0: any free ports
     bool proxied = false;         ///< every link goes through the fault proxy
     std::string log_folder{};     ///< empty: a temporary folder
--- a/src/connection/entry_server.cpp
+++ b/src/connection/entry_server.cpp
@@ -142,6 +142,11 @@
     open_.erase(found);
     --in_flight_;
     count_end(row, result);
+    log_detail("entry", "Request ended.",
+               {{"request", id.text()},
+                {"pipeline", row.pipeline},
+                {"code", std::string(describe(result.code).name)},
+                {"outcome", std::string(outcome_name(result.end))}});
     if (!row.streamed || !row.stream_begun)
     {
         row.exchange->respond(caller_api::result_answer(id, result));
--- a/src/request/stage_codec.cpp
+++ b/src/request/stage_codec.cpp
@@ -97,7 +97,9 @@
 std::string generate_body(const run_context& context,
                           const pipeline_stage& stage, std::uint32_t priority)
 {
-    return "{\"model\":" + quote(stage.model) +
+    const std::string model =
+        stage.adapter.empty() ? stage.model : stage.model + ":" + stage.adapter;
+    return "{\"model\":" + quote(model) +
            ",\"prompt\":" + quote(prompt_of(context)) +
            ",\"max_tokens\":" + std::to_string(context.max_tokens) +
            ",\"priority\":" + std::to_string(priority) + ",\"stream\":true}";
--- a/src/version/configuration.cpp
+++ b/src/version/configuration.cpp
@@ -44,6 +44,14 @@
     return find_row(customers_, customer_index_, name);
 }
 
+const served_model* configuration::find_model(std::string_view name) const
+{
+    const auto found = std::find_if(models_.begin(), models_.end(),
+                                    [name](const served_model& row)
+                                    { return row.name == name; });
+    return found == models_.end() ? nullptr : &*found;
+}
+
 const server_pool* configuration::find_pool(std::string_view name) const
 {
     return find_row(pools_, pool_index_, name);
--- a/src/version/configuration.hpp
+++ b/src/version/configuration.hpp
@@ -42,6 +42,14 @@
     std::vector<std::uint32_t> servers; ///< indexes into servers()
 };
 
+/// A model that engines serve.
+struct served_model final
+{
+    std::string name;
+    std::string version;
+    std::vector<std::string> adapters; ///< sorted
+};
+
 /// One step of a pipeline.
 struct pipeline_stage final
 {
@@ -49,7 +57,8 @@
     stage_kind kind = stage_kind::call;
     std::uint32_t pool = 0; ///< index into pools()
     std::string path;       ///< of the call at the backend server
-    std::string model;      ///< for generate
+    std::string model;      ///< for generate; one of models() if any is named
+    std::string adapter;    ///< of the model; empty: none
     bool idempotent = true;
     std::uint64_t estimate_key = 0; ///< names it to the service estimator
 };
@@ -88,11 +97,13 @@
     const std::vector<server_pool>& pools() const { return pools_; }
     const std::vector<pipeline>& pipelines() const { return pipelines_; }
     const std::vector<customer>& customers() const { return customers_; }
+    const std::vector<served_model>& models() const { return models_; }
 
     /// Return nullptr when there is none of this name.
     const pipeline* find_pipeline(std::string_view name) const;
     const customer* find_customer(std::string_view name) const;
     const server_pool* find_pool(std::string_view name) const;
+    const served_model* find_model(std::string_view name) const;
 
 private:
     friend class configuration_parser;
@@ -102,6 +113,7 @@
     std::vector<server_pool> pools_;
     std::vector<pipeline> pipelines_;
     std::vector<customer> customers_;
+    std::vector<served_model> models_;
     absl::flat_hash_map<std::string, std::uint32_t> pool_index_;
     absl::flat_hash_map<std::string, std::uint32_t> pipeline_index_;
     absl::flat_hash_map<std::string, std::uint32_t> customer_index_;
--- a/src/version/configuration_parser.cpp
+++ b/src/version/configuration_parser.cpp
@@ -153,11 +153,13 @@
 std::shared_ptr<const configuration>
 configuration_parser::parse(const json& value)
 {
-    require_known(value, "",
-                  {"pools", "backend_servers", "customers", "pipelines"});
+    require_known(
+        value, "",
+        {"pools", "backend_servers", "customers", "models", "pipelines"});
     parse_pools(section(value, "pools"));
     parse_servers(section(value, "backend_servers"));
     parse_customers(section(value, "customers"));
+    parse_models(section(value, "models"));
     parse_pipelines(section(value, "pipelines"));
     return std::move(result_);
 }
@@ -215,6 +217,52 @@
     }
 }
 
+void configuration_parser::parse_models(const json& value)
+{
+    for (const auto& member : value.items())
+    {
+        const std::string place = "/models/" + member.key();
+        const json& row = member.value();
+        require_known(row, place, {"version", "adapters"});
+        served_model model;
+        model.name = member.key();
+        model.version = text(row, place, "version");
+        for (const auto& adapter : row.value("adapters", json::array()))
+        {
+            if (!adapter.is_string())
+            {
+                throw configuration_error(place + "/adapters",
+                                          "must be a list of names");
+            }
+            model.adapters.push_back(adapter.get<std::string>());
+        }
+        std::sort(model.adapters.begin(), model.adapters.end());
+        result_->models_.push_back(std::move(model));
+    }
+}
+
+void configuration_parser::check_model(const std::string& place,
+                                       const pipeline_stage& stage) const
+{
+    if (stage.kind != stage_kind::generate || result_->models_.empty())
+    {
+        return;
+    }
+    const served_model* model = result_->find_model(stage.model);
+    if (model == nullptr)
+    {
+        throw configuration_error(place + "/model", "no model " + stage.model);
+    }
+    const bool known = stage.adapter.empty() ||
+                       std::binary_search(model->adapters.begin(),
+                                          model->adapters.end(), stage.adapter);
+    if (!known)
+    {
+        throw configuration_error(place + "/adapter",
+                                  "no adapter " + stage.adapter);
+    }
+}
+
 void configuration_parser::parse_pipelines(const json& value)
 {
     for (const auto& member : value.items())
@@ -266,8 +314,9 @@
 pipeline_stage configuration_parser::parse_stage(const std::string& place,
                                                  const json& value)
 {
-    require_known(value, place,
-                  {"name", "kind", "pool", "path", "model", "idempotent"});
+    require_known(
+        value, place,
+        {"name", "kind", "pool", "path", "model", "adapter", "idempotent"});
     pipeline_stage stage;
     stage.name = text(value, place, "name");
     const auto kind = stage_kind_from_name(text(value, place, "kind"));
@@ -287,6 +336,8 @@
     stage.pool = found->second;
     stage.path = text_or(value, place, "path", default_path(*kind));
     stage.model = text_or(value, place, "model", "default");
+    stage.adapter = text_or(value, place, "adapter", "");
+    check_model(place, stage);
     stage.idempotent = flag_or(value, place, "idempotent", true);
     stage.estimate_key = stable_hash(place);
     return stage;
--- a/tests/unit/configuration_store_test.cpp
+++ b/tests/unit/configuration_store_test.cpp
@@ -131,6 +131,23 @@
             CPPUNIT_ASSERT(!result.reason.empty());
         }
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), store.position().number);
+        section("a stage whose model is not configured is refused",
+                [&]
+                {
+                    const json value{{"pools", {{"engines", json::object()}}},
+                                     {"models", {{"a", {{"version", "1"}}}}},
+                                     {"pipelines",
+                                      {{"talk",
+                                        {{"stages",
+                                          {{{"name", "generate"},
+                                            {"kind", "generate"},
+                                            {"pool", "engines"},
+                                            {"model", "b"}}}}}}}}};
+                    const auto result = store.accept_whole(
+                        json{{"number", 9}, {"value", value}}.dump());
+                    CPPUNIT_ASSERT(result.reason.find("no model b") !=
+                                   std::string::npos);
+                });
         section("the place of the fault is named",
                 [&]
                 {
