--- a/tests/unit/reader_schedule_test.cpp
+++ b/tests/unit/reader_schedule_test.cpp
@@ -18,6 +18,7 @@
     {
         std::mt19937_64 random(1);
         std::vector<instance_row> list;
+        list.reserve(200);
         for (int i = 0; i < 200; ++i)
         {
             list.push_back({"instance-" + std::to_string(i),
