--- a/src/connection/backend_connection.cpp
+++ b/src/connection/backend_connection.cpp
@@ -1,6 +1,7 @@
 #include "connection/backend_connection.hpp"
 
 #include "base/socket_address.hpp"
+#include "connection/socket_state.hpp"
 #include "connection/time_limit.hpp"
 
 #include <netinet/tcp.h>
@@ -67,20 +68,13 @@
 
 bool backend_connection::clean()
 {
-    if (buffer_.size() > 0 || !socket_.is_open())
-    {
-        return false;
-    }
-    char byte = 0;
-    const auto got =
-        ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return buffer_.size() == 0 && socket_.is_open() &&
+           readable(socket_) == readable_state::nothing;
 }
 
 void backend_connection::close()
 {
-    error_code ignored; // the connection is given up either way
-    socket_.close(ignored);
+    close_socket(socket_);
 }
 
 } // namespace mangolink
--- a/src/connection/caller_session.cpp
+++ b/src/connection/caller_session.cpp
@@ -3,14 +3,13 @@
 #include "base/metrics.hpp"
 #include "connection/forward_run.hpp"
 #include "connection/gateway_context.hpp"
+#include "connection/socket_state.hpp"
 #include "connection/time_limit.hpp"
 
-#include <absl/cleanup/cleanup.h>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <sys/socket.h>
 
 namespace mangolink
 {
@@ -251,11 +250,8 @@
     {
         co_return;
     }
-    char byte = 0;
-    const auto got =
-        ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     // Bytes are the caller's next request, which waits its turn.
-    if (got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+    if (peer_has_closed(socket_))
     {
         run->caller_left();
     }
@@ -286,8 +282,7 @@
 void caller_session::close()
 {
     closed_ = true;
-    error_code ignored; // the connection is given up either way
-    socket_.close(ignored);
+    close_socket(socket_);
 }
 
 } // namespace mangolink
--- a/src/connection/forward_protocol.hpp
+++ b/src/connection/forward_protocol.hpp
@@ -2,7 +2,8 @@
 
 #include "connection/asio_types.hpp"
 #include "process/backend_server.hpp"
-#include "request/stage_pool_scheduler.hpp"
+#include "request/stage_item_end.hpp"
+#include "request/stage_plan.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -38,6 +39,14 @@
     std::optional<std::uint64_t> last_event; ///< set to resume a stream
 };
 
+/// Load that a server reported with an answer.
+struct server_load final
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 1;
+};
+
 /// What the headers of a backend server's answer say.
 struct answer_facts final
 {
@@ -59,23 +68,6 @@
     std::vector<std::string> inputs; ///< results of earlier stages
 };
 
-/// How a piece of a call ended.
-enum class stage_item_end : std::uint8_t
-{
-    made,
-    late,     ///< its time was over before its turn
-    no_input, ///< a result that it needs no longer exists
-    no_room,
-    failed
-};
-
-/// End of one piece of a call.
-struct stage_item_answer final
-{
-    stage_item_end end = stage_item_end::failed;
-    std::string handle; ///< names the result and the server that keeps it
-};
-
 /// Translates between the project's types and what callers and backend
 /// servers of a platform speak. Holds no state.
 class forward_protocol
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -8,6 +8,7 @@
 #include "connection/caller_channel.hpp"
 #include "connection/gateway_context.hpp"
 #include "connection/header_rules.hpp"
+#include "connection/stage_dispatcher.hpp"
 #include "connection/time_limit.hpp"
 #include "roles/gateway_settings.hpp"
 #include "roles/gateway_state.hpp"
@@ -46,8 +47,15 @@
 /// Time that a model engine needs for the first event of a usual request.
 constexpr milliseconds engine_time{150};
 
-/// Pieces of a request that are made again before it is refused.
-constexpr std::uint32_t most_stage_repeats = 6;
+/// Pieces of a request that are made again, and that go to another server
+/// without having been sent, before the request is refused. A stage has some
+/// twenty pieces, which fail together.
+constexpr std::uint32_t most_stage_repeats = 60;
+constexpr std::uint32_t most_stage_reroutes = 200;
+
+/// Time that a stage is expected to take when the due time of the stages
+/// before it is set: half a call's wait, and the call.
+constexpr milliseconds following_stage_time{350};
 
 /// Time left under which another attempt makes no sense.
 constexpr milliseconds least_time{40};
@@ -74,8 +82,7 @@
 forward_run::forward_run(gateway_context& context, caller_channel& channel,
                          text_request request, boot_clock::time_point arrival)
     : context_(context), channel_(channel), request_(std::move(request)),
-      arrival_(arrival), deadline_(arrival), number_(++context.last_run),
-      wake_(context.io)
+      arrival_(arrival), deadline_(arrival), wake_(context.io)
 {
     ++context_.open_requests;
 }
@@ -204,7 +211,9 @@
             i < facts_.piece_counts.size() && facts_.piece_counts[i] > 0;
         if (used)
         {
-            expected += context_.stages.expected_time(stages[i].service);
+            expected += context_.stages.expected_time(stages[i].service,
+                                                      facts_.piece_counts[i],
+                                                      stages[i].result_bytes);
         }
     }
     if (!stages.empty() && expected + engine_time > time_left())
@@ -240,7 +249,6 @@
 asio::awaitable<bool> forward_run::make_stages()
 {
     const auto began = boot_clock::now();
-    context_.stages.enroll(number_, weak_from_this());
     submit_ready();
     while (!plan_->complete() && !caller_gone_ && !timed_out_ &&
            !stage_refusal_)
@@ -253,7 +261,6 @@
     {
         co_return true;
     }
-    context_.stages.withdraw(number_);
     if (caller_gone_)
     {
         end(0, "caller left during stages");
@@ -279,25 +286,40 @@
 
 void forward_run::submit_ready()
 {
-    const auto now = boot_clock::now();
+    std::vector<std::shared_ptr<stage_order>> orders;
     for (const auto& piece : plan_->take_ready())
     {
-        const std::string& service = plan_->stage(piece.stage).service;
-        waiting_piece row;
-        row.run = number_;
-        row.piece = piece;
-        row.queued = now;
-        row.deadline = deadline_;
-        row.due = std::min(deadline_, arrival_ + route_->latency_objective) -
-                  engine_time;
-        const auto after = plan_->stages_after(piece.stage);
-        row.due -=
-            context_.stages.expected_time(service) * static_cast<int>(after);
-        row.sent_before = stage_repeats_ > 0;
-        context_.stages.add(service, row);
+        if (orders.empty() || orders.back()->stage != piece.stage)
+        {
+            orders.push_back(new_order(piece.stage));
+        }
+        orders.back()->pieces.push_back(piece.piece);
+    }
+    for (auto& order : orders)
+    {
+        context_.stages.submit(std::move(order));
     }
 }
 
+std::shared_ptr<stage_order> forward_run::new_order(std::uint32_t stage)
+{
+    const auto& definition = plan_->stage(stage);
+    auto order = std::make_shared<stage_order>();
+    order->client = weak_from_this();
+    order->request_id = facts_.id;
+    order->service = definition.service;
+    order->stage = stage;
+    order->piece_key = facts_.piece_key;
+    order->inputs = plan_->inputs_of(stage);
+    order->result_bytes = definition.result_bytes;
+    order->deadline = deadline_;
+    // The time by which the stages that follow must begin.
+    const auto after = static_cast<int>(plan_->stages_after(stage));
+    order->due = std::min(deadline_, arrival_ + route_->latency_objective) -
+                 engine_time - following_stage_time * after;
+    return order;
+}
+
 asio::awaitable<void> forward_run::wait_for_event()
 {
     error_code ignored; // a cancelled wait is an event
@@ -305,24 +327,14 @@
     co_await wake_.async_wait(into(ignored));
 }
 
-std::optional<stage_call_item> forward_run::call_item(stage_piece piece)
+bool forward_run::wants_pieces() const
 {
-    if (ended_ || caller_gone_ || timed_out_)
-    {
-        return std::nullopt;
-    }
-    stage_call_item item;
-    item.request_id = facts_.id;
-    item.piece = piece;
-    item.time_left = time_left();
-    item.piece_key = facts_.piece_key;
-    item.inputs = plan_->inputs_of(piece.stage);
-    return item;
+    return !ended_ && !caller_gone_ && !timed_out_;
 }
 
 void forward_run::piece_ended(stage_piece piece, stage_item_answer answer)
 {
-    if (ended_ || caller_gone_ || timed_out_)
+    if (!wants_pieces())
     {
         if (answer.end == stage_item_end::made)
         {
@@ -347,13 +359,18 @@
         context_.stages.release(plan_->restart());
         ++stage_repeats_;
         break;
+    case stage_item_end::unsent:
+        plan_->give_back(piece);
+        ++stage_reroutes_;
+        break;
     case stage_item_end::no_room:
     case stage_item_end::failed:
         plan_->give_back(piece);
         ++stage_repeats_;
         break;
     }
-    if (stage_repeats_ > most_stage_repeats)
+    if (stage_repeats_ > most_stage_repeats ||
+        stage_reroutes_ > most_stage_reroutes)
     {
         stage_refusal_ = refusal{http::status::service_unavailable,
                                  "stage pool failed", return_soon};
@@ -865,7 +882,6 @@
 {
     if (plan_)
     {
-        context_.stages.withdraw(number_);
         context_.stages.release(plan_->restart());
     }
 }
--- a/src/connection/forward_run.hpp
+++ b/src/connection/forward_run.hpp
@@ -4,9 +4,9 @@
 #include "connection/asio_types.hpp"
 #include "connection/backend_pool.hpp"
 #include "connection/forward_protocol.hpp"
-#include "connection/stage_dispatcher.hpp"
 #include "request/attempt_policy.hpp"
 #include "request/direct_balancer.hpp"
+#include "request/stage_order.hpp"
 #include "request/stage_plan.hpp"
 #include "version/gateway_configuration.hpp"
 
@@ -43,7 +43,7 @@
     /// Returns whether the final answer was given.
     bool ended() const { return ended_; }
 
-    std::optional<stage_call_item> call_item(stage_piece piece) override;
+    bool wants_pieces() const override;
     void piece_ended(stage_piece piece, stage_item_answer answer) override;
 
 private:
@@ -69,6 +69,7 @@
     void choose_service();
     asio::awaitable<bool> make_stages();
     void submit_ready();
+    std::shared_ptr<stage_order> new_order(std::uint32_t stage);
     asio::awaitable<void> wait_for_event();
     asio::awaitable<void> send_until_answered();
     asio::awaitable<bool> prepare(attempt& current);
@@ -103,11 +104,11 @@
     const gateway_route* route_ = nullptr;
     const gateway_customer* customer_ = nullptr;
     std::string service_;
-    std::uint64_t number_ = 0;
     std::optional<stage_plan> plan_;
     asio::steady_timer wake_;
     std::optional<refusal> stage_refusal_;
     std::uint32_t stage_repeats_ = 0;
+    std::uint32_t stage_reroutes_ = 0;
     bool restart_stages_ = false;
     milliseconds stage_time_{0};
 
--- a/src/connection/gateway_context.hpp
+++ b/src/connection/gateway_context.hpp
@@ -29,7 +29,6 @@
     bool stopping = false;
     std::size_t open_callers = 0;
     std::size_t open_requests = 0;
-    std::uint64_t last_run = 0; ///< number of the newest request
 
     /// Returns the limits for callers in force.
     caller_limits limits() const;
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -3,6 +3,9 @@
 #include "base/log.hpp"
 #include "base/socket_address.hpp"
 #include "connection/caller_session.hpp"
+#include "connection/listening_socket.hpp"
+#include "connection/order_server.hpp"
+#include "connection/peer_beats.hpp"
 #include "connection/time_limit.hpp"
 
 #include <boost/beast/http/read.hpp>
@@ -32,6 +35,32 @@
 /// Part of the descriptors that callers' connections may take.
 constexpr double caller_descriptors = 0.6;
 
+socket_address parsed(const std::string& address)
+{
+    const auto result = socket_address::parse(address);
+    if (!result)
+    {
+        throw std::runtime_error(address + " is not an address");
+    }
+    return *result;
+}
+
+std::shared_ptr<tcp::acceptor> open_listener(asio::io_context& io,
+                                             const std::string& address)
+{
+    return std::make_shared<tcp::acceptor>(
+        listening_socket(io, parsed(address)));
+}
+
+/// Describes this process to others. Without an address for them it works
+/// alone.
+peer describe(const gateway_settings& settings)
+{
+    return {incarnation::random(), settings.name, settings.zone,
+            settings.peers.empty() ? socket_address() : parsed(settings.peers),
+            false};
+}
+
 } // namespace
 
 gateway_server::gateway_server(gateway_settings settings,
@@ -39,7 +68,8 @@
                                const forward_protocol& protocol)
     : settings_(std::move(settings)), reload_(std::move(reload)),
       protocol_(protocol), state_(settings_), connections_(io_, metrics_),
-      stages_(io_, settings_, protocol_, state_, connections_, metrics_),
+      peers_({describe(settings_)}), stages_(io_, settings_, protocol_, state_,
+                                             peers_, connections_, metrics_),
       feed_(
           state_, [this] { stages_.pump_all(); },
           [this](const std::string& id) { connections_.forget(id); }),
@@ -55,6 +85,7 @@
         open_side(settings_.operators, [this](const text_request& request)
                   { return operators_answer(request); });
     }
+    open_to_peers();
     metrics_.gauge("mangolink_open_requests", [this]
                    { return static_cast<double>(context_.open_requests); });
     metrics_.gauge("mangolink_open_callers", [this]
@@ -67,6 +98,19 @@
 
 gateway_server::~gateway_server() = default;
 
+void gateway_server::open_to_peers()
+{
+    if (settings_.peers.empty())
+    {
+        return;
+    }
+    orders_ =
+        std::make_unique<order_server>(io_, peers_.self().address, stages_);
+    beats_ = std::make_unique<peer_beats>(
+        io_, peers_, stages_, settings_.seeds, [this] { stages_.pump_all(); },
+        metrics_);
+}
+
 bool gateway_server::run()
 {
     log_notice("gateway", "Started.",
@@ -79,27 +123,10 @@
     return all_ended_;
 }
 
-std::shared_ptr<tcp::acceptor>
-gateway_server::listen(const std::string& address)
-{
-    const auto parsed = socket_address::parse(address);
-    if (!parsed)
-    {
-        throw std::runtime_error(address + " is not an address");
-    }
-    const tcp::endpoint endpoint(asio::ip::make_address(parsed->host),
-                                 parsed->port);
-    auto acceptor = std::make_shared<tcp::acceptor>(io_);
-    acceptor->open(endpoint.protocol());
-    acceptor->set_option(tcp::acceptor::reuse_address(true));
-    acceptor->bind(endpoint);
-    acceptor->listen();
-    return acceptor;
-}
-
 void gateway_server::accept_callers()
 {
-    asio::co_spawn(io_, accept_loop(listen(settings_.callers)), asio::detached);
+    asio::co_spawn(io_, accept_loop(open_listener(io_, settings_.callers)),
+                   asio::detached);
 }
 
 asio::awaitable<void>
@@ -116,9 +143,7 @@
         {
             log_warning("gateway", "Accept failed.",
                         {{"reason", error.message()}});
-            asio::steady_timer pause(io_, tick);
-            error_code ignored; // the timer is never cancelled
-            co_await pause.async_wait(into(ignored));
+            co_await pause(io_, accept_retry);
             continue;
         }
         if (context_.open_callers >= most)
@@ -136,7 +161,8 @@
 
 void gateway_server::open_side(const std::string& address, handler handle)
 {
-    asio::co_spawn(io_, serve_side(listen(address), std::move(handle)),
+    asio::co_spawn(io_,
+                   serve_side(open_listener(io_, address), std::move(handle)),
                    asio::detached);
 }
 
@@ -231,6 +257,7 @@
         {"configuration", configuration ? configuration->version() : 0},
         {"confirmed_ms_ago", age ? age->count() : -1},
         {"backend_servers", state_.directory().size()},
+        {"peers", peers_.size()},
         {"open_requests", context_.open_requests},
         {"open_callers", context_.open_callers}};
     return status.dump(2) + "\n";
@@ -265,15 +292,18 @@
     log_notice("gateway", "Stopping.",
                {{"open_requests", std::to_string(context_.open_requests)},
                 {"limit_ms", std::to_string(settings_.stop_limit.count())}});
+    peers_.stop();
+    if (beats_)
+    {
+        beats_->send_now();
+    }
     const auto soonest = began + rotation_time;
     const auto latest = began + settings_.stop_limit - stop_reserve;
-    asio::steady_timer timer(io_);
     auto now = began;
-    while (now < latest && (now < soonest || context_.open_requests > 0))
+    while (now < latest &&
+           (now < soonest || context_.open_requests > 0 || stages_.busy()))
     {
-        timer.expires_after(tick / 5);
-        error_code ignored; // the timer is never cancelled
-        co_await timer.async_wait(into(ignored));
+        co_await pause(io_, tick / 5);
         now = boot_clock::now();
     }
     all_ended_ = context_.open_requests == 0;
@@ -282,15 +312,13 @@
 
 asio::awaitable<void> gateway_server::keep_time()
 {
-    asio::steady_timer timer(io_);
     while (true)
     {
-        timer.expires_after(tick);
-        error_code ignored; // the timer is never cancelled
-        co_await timer.async_wait(into(ignored));
+        co_await pause(io_, tick);
         const auto now = boot_clock::now();
         feed_.on_time(now);
         connections_.close_idle(now);
+        state_.share_among(peers_.most_lately(now));
         const bool ready = state_.ready(now);
         if (ready != was_ready_)
         {
@@ -312,6 +340,10 @@
     {
         const gateway_settings fresh = reload_();
         settings_.seeds = fresh.seeds;
+        if (beats_)
+        {
+            beats_->set_seeds(fresh.seeds);
+        }
         settings_.stop_limit = fresh.stop_limit;
         settings_.level = fresh.level;
         log_notice("gateway", "Settings read again.",
--- a/src/connection/gateway_server.hpp
+++ b/src/connection/gateway_server.hpp
@@ -5,6 +5,7 @@
 #include "connection/backend_pool.hpp"
 #include "connection/gateway_context.hpp"
 #include "connection/stage_dispatcher.hpp"
+#include "process/peer_directory.hpp"
 #include "roles/gateway_feed.hpp"
 #include "roles/gateway_settings.hpp"
 #include "roles/gateway_state.hpp"
@@ -18,6 +19,9 @@
 namespace mangolink
 {
 
+class order_server;
+class peer_beats;
+
 /// A gateway: forwards callers' requests to backend servers, over HTTP on both
 /// sides, on one thread.
 class gateway_server final
@@ -50,7 +54,6 @@
     asio::awaitable<void> serve_side(std::shared_ptr<tcp::acceptor> acceptor,
                                      handler handle);
     asio::awaitable<void> answer_side(tcp::socket socket, handler handle);
-    std::shared_ptr<tcp::acceptor> listen(const std::string& address);
     void open_side(const std::string& address, handler handle);
     text_response readiness_answer(const text_request& request) const;
     text_response operators_answer(const text_request& request) const;
@@ -58,6 +61,7 @@
     asio::awaitable<void> follow_signals();
     asio::awaitable<void> keep_time();
     asio::awaitable<void> stop();
+    void open_to_peers();
     void reload();
 
     asio::io_context io_{1};
@@ -67,9 +71,12 @@
     metrics_registry metrics_;
     gateway_state state_;
     backend_pool connections_;
+    peer_directory peers_;
     stage_dispatcher stages_;
     gateway_feed feed_;
     gateway_context context_;
+    std::unique_ptr<order_server> orders_;
+    std::unique_ptr<peer_beats> beats_;
     asio::signal_set signals_;
     bool was_ready_ = false;
     bool all_ended_ = true;
--- /dev/null
+++ b/src/connection/listening_socket.cpp
@@ -0,0 +1,28 @@
+#include "connection/listening_socket.hpp"
+
+#include "base/socket_address.hpp"
+
+namespace mangolink
+{
+
+tcp::acceptor listening_socket(asio::io_context& io,
+                               const socket_address& address)
+{
+    const tcp::endpoint endpoint(asio::ip::make_address(address.host),
+                                 address.port);
+    tcp::acceptor acceptor(io);
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen();
+    return acceptor;
+}
+
+asio::awaitable<void> pause(asio::io_context& io, milliseconds time)
+{
+    asio::steady_timer timer(io, time);
+    error_code ignored; // the timer is never cancelled
+    co_await timer.async_wait(into(ignored));
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/order_message.cpp
@@ -0,0 +1,150 @@
+#include "connection/order_message.hpp"
+
+#include "gateway.pb.h"
+
+#include <algorithm>
+
+namespace mangolink
+{
+namespace
+{
+
+constexpr double permille = 1000;
+
+std::int64_t left_ms(boot_clock::time_point when, boot_clock::time_point now)
+{
+    // Bounds keep durations inside the message's 32 bits.
+    constexpr std::int64_t hour_ms = 3'600'000;
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(when - now).count();
+    return std::clamp<std::int64_t>(left, -hour_ms, hour_ms);
+}
+
+} // namespace
+
+std::string encode_order(const stage_order& order, const std::string& server,
+                         boot_clock::time_point now)
+{
+    wire::stage_order message;
+    message.set_request_id(order.request_id);
+    message.set_service(order.service);
+    message.set_server(server);
+    message.set_stage(order.stage);
+    for (const auto piece : order.pieces)
+    {
+        message.add_pieces(piece);
+    }
+    message.set_piece_key(order.piece_key);
+    for (const auto& input : order.inputs)
+    {
+        message.add_inputs(input);
+    }
+    message.set_due_ms(static_cast<std::int32_t>(left_ms(order.due, now)));
+    message.set_deadline_ms(static_cast<std::uint32_t>(
+        std::max<std::int64_t>(0, left_ms(order.deadline, now))));
+    message.set_result_bytes(order.result_bytes);
+    return message.SerializeAsString();
+}
+
+std::optional<addressed_order> decode_order(const std::string& bytes,
+                                            boot_clock::time_point now)
+{
+    wire::stage_order message;
+    if (!message.ParseFromString(bytes))
+    {
+        return std::nullopt;
+    }
+    addressed_order result;
+    result.server = message.server();
+    result.order = std::make_shared<stage_order>();
+    stage_order& order = *result.order;
+    order.request_id = message.request_id();
+    order.service = message.service();
+    order.stage = message.stage();
+    order.pieces.assign(message.pieces().begin(), message.pieces().end());
+    order.piece_key = message.piece_key();
+    order.inputs.assign(message.inputs().begin(), message.inputs().end());
+    order.due = now + milliseconds(message.due_ms());
+    order.deadline = now + milliseconds(message.deadline_ms());
+    order.result_bytes = message.result_bytes();
+    return result;
+}
+
+std::string encode_reply(const std::vector<piece_report>& reports)
+{
+    wire::stage_reply message;
+    for (const auto& report : reports)
+    {
+        auto* row = message.add_pieces();
+        row->set_piece(report.piece);
+        row->set_end(static_cast<std::uint32_t>(report.answer.end));
+        row->set_handle(report.answer.handle);
+    }
+    return message.SerializeAsString();
+}
+
+std::optional<std::vector<piece_report>> decode_reply(const std::string& bytes)
+{
+    constexpr auto last = static_cast<std::uint32_t>(stage_item_end::unsent);
+    wire::stage_reply message;
+    if (!message.ParseFromString(bytes))
+    {
+        return std::nullopt;
+    }
+    std::vector<piece_report> reports;
+    for (const auto& row : message.pieces())
+    {
+        const auto end = row.end() <= last
+                             ? static_cast<stage_item_end>(row.end())
+                             : stage_item_end::failed;
+        reports.push_back({row.piece(), {end, row.handle()}});
+    }
+    return reports;
+}
+
+std::string encode_release(const release_message& message)
+{
+    wire::result_release row;
+    row.set_server(message.server);
+    for (const auto& handle : message.handles)
+    {
+        row.add_handles(handle);
+    }
+    return row.SerializeAsString();
+}
+
+std::optional<release_message> decode_release(const std::string& bytes)
+{
+    wire::result_release row;
+    if (!row.ParseFromString(bytes))
+    {
+        return std::nullopt;
+    }
+    return release_message{row.server(),
+                           {row.handles().begin(), row.handles().end()}};
+}
+
+void write_outlook(const std::string& server, const server_outlook& outlook,
+                   wire::stage_outlook& row)
+{
+    row.set_server(server);
+    row.set_pieces(outlook.pieces);
+    row.set_busy_ms(static_cast<std::uint32_t>(outlook.busy.count()));
+    row.set_slowdown_permille(
+        static_cast<std::uint32_t>(outlook.slowdown * permille));
+    row.set_avoid_ms(static_cast<std::uint32_t>(outlook.avoid.count()));
+    row.set_free_bytes(outlook.free_bytes);
+}
+
+server_outlook read_outlook(const wire::stage_outlook& row)
+{
+    server_outlook outlook;
+    outlook.pieces = row.pieces();
+    outlook.busy = milliseconds(row.busy_ms());
+    outlook.slowdown = row.slowdown_permille() / permille;
+    outlook.avoid = milliseconds(row.avoid_ms());
+    outlook.free_bytes = row.free_bytes();
+    return outlook;
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/order_message.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "request/stage_order.hpp"
+#include "request/stage_queue.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mangolink
+{
+
+namespace wire
+{
+class stage_outlook;
+}
+
+/// Order for a certain server, as it travels between processes.
+struct addressed_order final
+{
+    std::string server;
+    std::shared_ptr<stage_order> order; ///< without a client
+};
+
+/// End of one piece, as it travels back.
+struct piece_report final
+{
+    std::uint32_t piece = 0;
+    stage_item_answer answer;
+};
+
+/// Results to give up at a server.
+struct release_message final
+{
+    std::string server;
+    std::vector<std::string> handles;
+};
+
+std::string encode_order(const stage_order& order, const std::string& server,
+                         boot_clock::time_point now);
+
+/// Returns nothing for bytes that are no order.
+std::optional<addressed_order> decode_order(const std::string& bytes,
+                                            boot_clock::time_point now);
+
+std::string encode_reply(const std::vector<piece_report>& reports);
+
+/// Returns nothing for bytes that are no reply.
+std::optional<std::vector<piece_report>> decode_reply(const std::string& bytes);
+
+std::string encode_release(const release_message& message);
+std::optional<release_message> decode_release(const std::string& bytes);
+
+void write_outlook(const std::string& server, const server_outlook& outlook,
+                   wire::stage_outlook& row);
+server_outlook read_outlook(const wire::stage_outlook& row);
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/order_server.cpp
@@ -0,0 +1,190 @@
+#include "connection/order_server.hpp"
+
+#include "base/log.hpp"
+#include "base/socket_address.hpp"
+#include "connection/listening_socket.hpp"
+#include "connection/order_message.hpp"
+#include "connection/socket_state.hpp"
+#include "connection/stage_dispatcher.hpp"
+#include "connection/time_limit.hpp"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace mangolink
+{
+namespace
+{
+
+/// A connection of another process that is idle for this long is closed; the
+/// other side stops to use it before.
+constexpr milliseconds idle_limit{15'000};
+
+} // namespace
+
+/// Order of another process, while its pieces are made here.
+class order_server::remote_order final : public stage_client
+{
+public:
+    remote_order(asio::io_context& io, stage_dispatcher& stages,
+                 std::size_t pieces)
+        : stages_(stages), done_(io), missing_(pieces)
+    {
+    }
+
+    bool wants_pieces() const override { return wanted_; }
+
+    void piece_ended(stage_piece piece, stage_item_answer answer) override
+    {
+        if (!wanted_)
+        {
+            if (answer.end == stage_item_end::made)
+            {
+                stages_.release({answer.handle});
+            }
+            return;
+        }
+        reports_.push_back({piece.piece, std::move(answer)});
+        missing_ -= missing_ > 0 ? 1 : 0;
+        if (missing_ == 0)
+        {
+            done_.cancel();
+        }
+    }
+
+    /// Gives up what was made, since the other process is gone.
+    void abandon()
+    {
+        wanted_ = false;
+        for (const auto& report : reports_)
+        {
+            if (report.answer.end == stage_item_end::made)
+            {
+                stages_.release({report.answer.handle});
+            }
+        }
+        done_.cancel();
+    }
+
+    asio::awaitable<void> wait()
+    {
+        if (missing_ > 0 && wanted_)
+        {
+            error_code ignored; // a cancelled wait is the end
+            done_.expires_at(asio::steady_timer::time_point::max());
+            co_await done_.async_wait(into(ignored));
+        }
+    }
+
+    const std::vector<piece_report>& reports() const { return reports_; }
+
+    bool ended() const { return missing_ == 0; }
+
+private:
+    stage_dispatcher& stages_;
+    asio::steady_timer done_;
+    std::size_t missing_;
+    std::vector<piece_report> reports_;
+    bool wanted_ = true;
+};
+
+order_server::order_server(asio::io_context& io, const socket_address& address,
+                           stage_dispatcher& stages)
+    : io_(io), stages_(stages), acceptor_(listening_socket(io, address))
+{
+    asio::co_spawn(io_, accept_loop(), asio::detached);
+}
+
+order_server::~order_server() = default;
+
+asio::awaitable<void> order_server::accept_loop()
+{
+    while (true)
+    {
+        auto socket = std::make_shared<tcp::socket>(io_);
+        error_code error;
+        co_await acceptor_.async_accept(*socket, into(error));
+        if (!error)
+        {
+            asio::co_spawn(io_, serve(std::move(socket)), asio::detached);
+        }
+        else
+        {
+            log_warning("stage", "Accept failed.",
+                        {{"reason", error.message()}});
+            co_await pause(io_, accept_retry);
+        }
+    }
+}
+
+asio::awaitable<void> order_server::serve(std::shared_ptr<tcp::socket> socket)
+{
+    boost::beast::flat_buffer buffer;
+    error_code error;
+    socket->set_option(tcp::no_delay(true), error);
+    while (!error)
+    {
+        text_request request;
+        {
+            const time_limit guard(io_, idle_limit,
+                                   [socket] { close_socket(*socket); });
+            co_await http::async_read(*socket, buffer, request, into(error));
+        }
+        if (error)
+        {
+            break;
+        }
+        text_response response(http::status::ok, 11);
+        if (request.target() == order_path)
+        {
+            co_await make_order(socket, request.body(), response);
+        }
+        else if (const auto message = decode_release(request.body());
+                 message && request.target() == release_path)
+        {
+            stages_.release_here(message->server, message->handles);
+        }
+        else
+        {
+            response.result(http::status::bad_request);
+        }
+        response.prepare_payload();
+        co_await http::async_write(*socket, response, into(error));
+    }
+}
+
+asio::awaitable<void>
+order_server::make_order(std::shared_ptr<tcp::socket> socket,
+                         const std::string& body, text_response& response)
+{
+    const auto addressed = decode_order(body, boot_clock::now());
+    if (!addressed)
+    {
+        response.result(http::status::bad_request);
+        co_return;
+    }
+    const auto pending = std::make_shared<remote_order>(
+        io_, stages_, addressed->order->pieces.size());
+    addressed->order->client = pending;
+    asio::co_spawn(
+        io_, [socket, pending] { return watch(socket, pending); },
+        asio::detached);
+    stages_.enqueue(addressed->server, addressed->order);
+    co_await pending->wait();
+    error_code ignored; // ends the watch; nothing else waits on the socket
+    socket->cancel(ignored);
+    response.body() = encode_reply(pending->reports());
+}
+
+asio::awaitable<void> order_server::watch(std::shared_ptr<tcp::socket> socket,
+                                          std::shared_ptr<remote_order> order)
+{
+    error_code error;
+    co_await socket->async_wait(tcp::socket::wait_read, into(error));
+    if (!error && !order->ended() && peer_has_closed(*socket))
+    {
+        order->abandon();
+    }
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/peer_beats.cpp
@@ -0,0 +1,210 @@
+#include "connection/peer_beats.hpp"
+
+#include "base/log.hpp"
+#include "base/metrics.hpp"
+#include "connection/listening_socket.hpp"
+#include "connection/order_message.hpp"
+#include "connection/stage_dispatcher.hpp"
+#include "gateway.pb.h"
+#include "process/peer_directory.hpp"
+
+#include <absl/random/distributions.h>
+
+#include <algorithm>
+
+namespace mangolink
+{
+namespace
+{
+
+/// Load changes with every call of a stage server, some 200 ms; more beats
+/// than one a call tell nothing new.
+constexpr milliseconds least_interval{150};
+
+/// Time between beats grows with the processes, so that a process sends and
+/// gets about this many datagrams a second at most.
+constexpr std::int64_t beats_per_second = 130;
+
+/// Addresses of others that a beat carries, so that all get to know all.
+constexpr std::size_t known_in_beat = 6;
+
+constexpr milliseconds seed_interval{2000};
+
+} // namespace
+
+peer_beats::peer_beats(asio::io_context& io, peer_directory& peers,
+                       stage_dispatcher& stages, std::vector<std::string> seeds,
+                       std::function<void()> changed, metrics_registry& metrics)
+    : io_(io), peers_(peers), stages_(stages), seeds_(std::move(seeds)),
+      changed_(std::move(changed)),
+      sent_(metrics.counter("mangolink_beats_total", "how=\"sent\"")),
+      received_(metrics.counter("mangolink_beats_total", "how=\"received\"")),
+      unreadable_(
+          metrics.counter("mangolink_beats_total", "how=\"unreadable\"")),
+      socket_(io)
+{
+    const auto& own = peers_.self().address;
+    const asio::ip::udp::endpoint endpoint(asio::ip::make_address(own.host),
+                                           own.port);
+    socket_.open(endpoint.protocol());
+    socket_.bind(endpoint);
+    socket_.non_blocking(true);
+    asio::co_spawn(io_, receive_loop(), asio::detached);
+    asio::co_spawn(io_, send_loop(), asio::detached);
+}
+
+peer_beats::~peer_beats() = default;
+
+void peer_beats::set_seeds(std::vector<std::string> seeds)
+{
+    seeds_ = std::move(seeds);
+    learn_seeds(boot_clock::now());
+}
+
+void peer_beats::send_now()
+{
+    const std::string bytes = encode();
+    for (const auto& address : peers_.contacts())
+    {
+        error_code error;
+        const asio::ip::udp::endpoint to(
+            asio::ip::make_address(address.host, error), address.port);
+        socket_.send_to(asio::buffer(bytes), to, 0, error);
+        // A beat that is lost is made up for by the next.
+        sent_.add(error ? 0 : 1);
+    }
+}
+
+asio::awaitable<void> peer_beats::receive_loop()
+{
+    while (true)
+    {
+        error_code error;
+        co_await socket_.async_wait(asio::ip::udp::socket::wait_read,
+                                    into(error));
+        if (error)
+        {
+            co_return;
+        }
+        // One wake-up takes all that has arrived.
+        while (!error)
+        {
+            asio::ip::udp::endpoint from;
+            const auto size =
+                socket_.receive_from(asio::buffer(buffer_), from, 0, error);
+            if (!error)
+            {
+                take(size);
+            }
+        }
+    }
+}
+
+asio::awaitable<void> peer_beats::send_loop()
+{
+    auto next_seeds = boot_clock::now();
+    while (true)
+    {
+        const auto now = boot_clock::now();
+        if (now >= next_seeds)
+        {
+            learn_seeds(now);
+            next_seeds = now + seed_interval;
+        }
+        for (const auto& name : peers_.expire(now))
+        {
+            log_notice("peers", "Process is silent.", {{"process", name}});
+            changed_();
+        }
+        send_now();
+        const auto peers = static_cast<std::int64_t>(peers_.size());
+        const milliseconds interval = std::max(
+            least_interval, milliseconds(1000 * peers / beats_per_second));
+        co_await pause(io_, interval);
+    }
+}
+
+void peer_beats::take(std::size_t size)
+{
+    wire::gateway_beat beat;
+    if (!beat.ParseFromArray(buffer_.data(), static_cast<int>(size)))
+    {
+        unreadable_.add();
+        return;
+    }
+    const auto address = socket_address::parse(beat.address());
+    if (!address || beat.name().empty() || beat.incarnation() == 0)
+    {
+        unreadable_.add();
+        return;
+    }
+    received_.add();
+    const auto now = boot_clock::now();
+    const peer from{incarnation(beat.incarnation()), beat.name(), beat.zone(),
+                    *address, beat.stopping()};
+    const auto change = peers_.heard(from, now);
+    for (const auto& text : beat.known())
+    {
+        if (const auto other = socket_address::parse(text))
+        {
+            peers_.learned(*other, now);
+        }
+    }
+    for (const auto& row : beat.outlooks())
+    {
+        stages_.take_outlook(row.server(), read_outlook(row));
+    }
+    if (change == peer_change::none)
+    {
+        return;
+    }
+    static constexpr const char* names[] = {"unchanged", "Process joined.",
+                                            "Process restarted.",
+                                            "Process is stopping."};
+    log_notice("peers", names[static_cast<std::size_t>(change)],
+               {{"process", from.name},
+                {"zone", from.zone},
+                {"started", from.started.text()},
+                {"address", from.address.text()}});
+    changed_();
+}
+
+std::string peer_beats::encode()
+{
+    const peer& self = peers_.self();
+    wire::gateway_beat beat;
+    beat.set_incarnation(self.started.value());
+    beat.set_name(self.name);
+    beat.set_zone(self.zone);
+    beat.set_address(self.address.text());
+    beat.set_stopping(self.stopping);
+    for (const auto& row : stages_.outlooks())
+    {
+        write_outlook(row.server, row.outlook, *beat.add_outlooks());
+    }
+    auto known = peers_.alive();
+    std::shuffle(known.begin(), known.end(), random_);
+    known.resize(std::min(known.size(), known_in_beat));
+    for (const auto& address : known)
+    {
+        beat.add_known(address.text());
+    }
+    return beat.SerializeAsString();
+}
+
+void peer_beats::learn_seeds(boot_clock::time_point now)
+{
+    for (const auto& seed : seeds_)
+    {
+        // Seeds name another port of their instance; ports are the same on
+        // all instances.
+        auto address = socket_address::parse(seed);
+        if (address)
+        {
+            address->port = peers_.self().address.port;
+            peers_.learned(*address, now);
+        }
+    }
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/peer_beats.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "connection/asio_types.hpp"
+
+#include <absl/random/random.h>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace mangolink
+{
+
+class event_counter;
+class metrics_registry;
+class peer_directory;
+class stage_dispatcher;
+struct socket_address;
+
+/// Sends and receives the datagrams by which processes of the role know of
+/// each other and of the stage servers' load. Lost ones are not repeated: the
+/// next says more. Used by one thread.
+class peer_beats final
+{
+public:
+    /// `changed` is called after a process came or went. Starts at once.
+    peer_beats(asio::io_context& io, peer_directory& peers,
+               stage_dispatcher& stages, std::vector<std::string> seeds,
+               std::function<void()> changed, metrics_registry& metrics);
+    ~peer_beats();
+
+    peer_beats(const peer_beats&) = delete;
+    peer_beats& operator=(const peer_beats&) = delete;
+
+    /// Takes new seeds.
+    void set_seeds(std::vector<std::string> seeds);
+
+    /// Sends a beat now, as after a change that others should know.
+    void send_now();
+
+private:
+    asio::awaitable<void> receive_loop();
+    asio::awaitable<void> send_loop();
+    void take(std::size_t size);
+    std::string encode();
+    void learn_seeds(boot_clock::time_point now);
+
+    asio::io_context& io_;
+    peer_directory& peers_;
+    stage_dispatcher& stages_;
+    std::vector<std::string> seeds_;
+    std::function<void()> changed_;
+    event_counter& sent_;
+    event_counter& received_;
+    event_counter& unreadable_;
+    absl::BitGen random_;
+    asio::ip::udp::socket socket_;
+    std::array<char, 64 * 1024> buffer_{};
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/socket_state.cpp
@@ -0,0 +1,29 @@
+#include "connection/socket_state.hpp"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace mangolink
+{
+
+readable_state readable(tcp::socket& socket)
+{
+    char byte = 0;
+    const auto got =
+        ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got > 0)
+    {
+        return readable_state::bytes;
+    }
+    const bool waiting = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return waiting ? readable_state::nothing : readable_state::closed;
+}
+
+void close_socket(tcp::socket& socket)
+{
+    error_code ignored;
+    socket.close(ignored);
+}
+
+} // namespace mangolink
--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -5,28 +5,50 @@
 #include "connection/backend_connection.hpp"
 #include "connection/backend_exchange.hpp"
 #include "connection/backend_pool.hpp"
+#include "connection/listening_socket.hpp"
+#include "connection/order_message.hpp"
 #include "connection/time_limit.hpp"
+#include "process/peer_directory.hpp"
 #include "roles/gateway_settings.hpp"
 #include "roles/gateway_state.hpp"
 
+#include <algorithm>
+
 namespace mangolink
 {
 namespace
 {
 
-/// Longest time to connect to a stage server; a round trip between regions
-/// takes some 25 ms.
-constexpr milliseconds connect_limit{400};
+/// Longest time to connect to a stage server or another process; a round
+/// trip between regions takes some 25 ms.
+constexpr milliseconds connect_limit{300};
 
 /// How long results are collected before they are given up together.
-constexpr milliseconds release_delay{60};
-
+constexpr milliseconds release_delay{20};
 constexpr milliseconds release_limit{1000};
 
-std::string call_text(std::size_t pieces, milliseconds took)
+/// Another process that takes longer than this many times what was expected,
+/// and the reserve, does not answer.
+constexpr int order_limit_factor = 2;
+constexpr milliseconds order_reserve{600};
+
+std::shared_ptr<const backend_server> as_server(const peer& one)
+{
+    auto server = std::make_shared<backend_server>();
+    server->id = one.name + "/" + one.started.text();
+    server->address = one.address;
+    server->zone = one.zone;
+    return server;
+}
+
+text_request peer_request(const peer& to, const char* path, std::string body)
 {
-    return std::to_string(pieces) + " pieces in " +
-           std::to_string(took.count()) + " ms";
+    text_request request(http::verb::post, path, 11);
+    request.set(http::field::host, to.address.text());
+    request.set(http::field::content_type, "application/x-protobuf");
+    request.body() = std::move(body);
+    request.prepare_payload();
+    return request;
 }
 
 } // namespace
@@ -34,286 +56,329 @@
 stage_dispatcher::stage_dispatcher(asio::io_context& io,
                                    const gateway_settings& settings,
                                    const forward_protocol& protocol,
-                                   gateway_state& state,
+                                   gateway_state& state, peer_directory& peers,
                                    backend_pool& connections,
                                    metrics_registry& metrics)
     : io_(io), settings_(settings), protocol_(protocol), state_(state),
-      connections_(connections), metrics_(metrics)
+      peers_(peers), connections_(connections), metrics_(metrics),
+      router_({settings.name, settings.zone, settings.own_region_zones()})
 {
 }
 
 stage_dispatcher::~stage_dispatcher() = default;
 
-void stage_dispatcher::enroll(std::uint64_t run,
-                              std::weak_ptr<stage_client> client)
+void stage_dispatcher::submit(std::shared_ptr<const stage_order> order)
 {
-    clients_[run] = std::move(client);
-}
-
-void stage_dispatcher::withdraw(std::uint64_t run)
-{
-    clients_.erase(run);
-    for (auto& [service, row] : pools_)
+    const auto now = boot_clock::now();
+    const auto* figures = figures_of(order->service);
+    const auto server =
+        figures == nullptr
+            ? nullptr
+            : router_.choose(state_.directory().servers(order->service),
+                             *figures, order->pieces.size(),
+                             order->result_bytes, now);
+    if (!server)
     {
-        row->scheduler.remove_run(run);
+        std::vector<waiting_piece> pieces;
+        for (const auto piece : order->pieces)
+        {
+            pieces.push_back({order, piece});
+        }
+        send_back(std::move(pieces), stage_item_end::failed);
+        return;
     }
+    const peer* maker = peers_.responsible(server->id, server->zone);
+    if (maker == nullptr)
+    {
+        enqueue(server->id, std::move(order));
+        return;
+    }
+    router_.count_sent(server->id, order->pieces.size());
+    asio::co_spawn(io_, order_from(std::move(order), server, *maker),
+                   asio::detached);
 }
 
-void stage_dispatcher::add(const std::string& service, waiting_piece piece)
+void stage_dispatcher::enqueue(const std::string& server,
+                               std::shared_ptr<const stage_order> order)
 {
-    pool* row = pool_of(service);
+    server_row* row = row_of(server);
     if (row == nullptr)
     {
-        const auto client = clients_[piece.run].lock();
-        if (client)
+        std::vector<waiting_piece> pieces;
+        for (const auto piece : order->pieces)
         {
-            client->piece_ended(piece.piece, {stage_item_end::failed, {}});
+            pieces.push_back({order, piece});
         }
+        send_back(std::move(pieces), stage_item_end::unsent);
         return;
     }
-    row->scheduler.add(piece);
-    // Pieces of one request arrive one by one; the call is made after them.
-    arm(*row);
+    row->queue.add(order);
+    router_.take_outlook(server, row->queue.outlook(boot_clock::now()),
+                         boot_clock::now());
+    pump_soon(*row);
 }
 
-milliseconds stage_dispatcher::expected_time(const std::string& service)
+milliseconds stage_dispatcher::expected_time(const std::string& service,
+                                             std::size_t pieces,
+                                             std::uint64_t result_bytes) const
 {
-    pool* row = pool_of(service);
-    return row == nullptr ? milliseconds(0)
-                          : row->scheduler.expected_time(
-                                state_.directory().servers(service).size());
+    const auto* figures = figures_of(service);
+    const auto now = boot_clock::now();
+    const auto server =
+        figures == nullptr
+            ? nullptr
+            : router_.choose(state_.directory().servers(service), *figures,
+                             pieces, result_bytes, now);
+    return server ? router_.expected_time(*server, *figures, pieces,
+                                          result_bytes, now)
+                  : milliseconds(0);
 }
 
 void stage_dispatcher::release(const std::vector<std::string>& handles)
 {
+    to_release_.insert(to_release_.end(), handles.begin(), handles.end());
+    if (!release_pending_ && !to_release_.empty())
+    {
+        release_pending_ = true;
+        asio::co_spawn(io_, route_releases(), asio::detached);
+    }
+}
+
+void stage_dispatcher::release_here(const std::string& server,
+                                    const std::vector<std::string>& handles)
+{
+    server_row* row = row_of(server);
+    if (row == nullptr)
+    {
+        return; // results do not outlive their server
+    }
     for (const auto& handle : handles)
     {
-        to_release_[std::string(protocol_.keeper(handle))].push_back(handle);
+        row->queue.room().release(handle);
+        row->to_free.push_back(handle);
     }
-    if (!release_pending_ && !handles.empty())
+    pump_soon(*row);
+    if (!row->free_pending)
     {
-        release_pending_ = true;
-        asio::co_spawn(io_, flush_releases(), asio::detached);
+        row->free_pending = true;
+        asio::co_spawn(io_, free_results(*row), asio::detached);
     }
 }
 
+void stage_dispatcher::take_outlook(const std::string& server,
+                                    const server_outlook& outlook)
+{
+    router_.take_outlook(server, outlook, boot_clock::now());
+}
+
+std::vector<named_outlook> stage_dispatcher::outlooks()
+{
+    std::vector<named_outlook> result;
+    const auto now = boot_clock::now();
+    for (auto& [id, row] : rows_)
+    {
+        const bool own =
+            row->server && peers_.responsible(id, row->server->zone) == nullptr;
+        const auto outlook = row->queue.outlook(now);
+        if (own)
+        {
+            router_.take_outlook(id, outlook, now);
+            result.push_back({id, outlook});
+        }
+    }
+    return result;
+}
+
+bool stage_dispatcher::busy() const
+{
+    return std::any_of(rows_.begin(), rows_.end(),
+                       [](const auto& row)
+                       { return row.second->queue.busy(); });
+}
+
 void stage_dispatcher::pump_all()
 {
-    for (auto& [service, row] : pools_)
+    for (auto& [id, row] : rows_)
     {
-        pump(*row);
+        row->server = state_.directory().find(id);
+        pump_soon(*row);
     }
 }
 
-stage_dispatcher::pool* stage_dispatcher::pool_of(const std::string& service)
+const stage_pool_figures*
+stage_dispatcher::figures_of(const std::string& service) const
 {
     const auto& configuration = state_.configuration();
-    const auto* figures =
+    const auto* found =
         configuration ? configuration->find_service(service) : nullptr;
-    const auto found = pools_.find(service);
-    if (found != pools_.end())
+    return found != nullptr && found->pool ? &*found->pool : nullptr;
+}
+
+stage_dispatcher::server_row*
+stage_dispatcher::row_of(const std::string& server)
+{
+    const auto found = rows_.find(server);
+    if (found != rows_.end())
     {
-        if (figures != nullptr && figures->pool)
-        {
-            found->second->scheduler.configure(*figures->pool);
-        }
-        return found->second.get();
+        return found->second->server ? found->second.get() : nullptr;
     }
-    if (figures == nullptr || !figures->pool)
+    const auto facts = state_.directory().find(server);
+    const auto* figures = facts ? figures_of(facts->service) : nullptr;
+    if (figures == nullptr)
     {
         return nullptr;
     }
-    const std::string label = "service=\"" + service + "\"";
-    auto row = std::make_unique<pool>(pool{
-        service,
-        stage_pool_scheduler(*figures->pool, {settings_.name, settings_.zone,
-                                              settings_.own_region_zones()}),
-        asio::steady_timer(io_),
-        metrics_.counter("mangolink_stage_calls_total", label),
-        metrics_.counter("mangolink_stage_pieces_total", label),
-        metrics_.counter("mangolink_stage_failures_total", label)});
-    return pools_.emplace(service, std::move(row)).first->second.get();
+    auto row = std::make_unique<server_row>(
+        server_row{facts, stage_queue(*figures), {}});
+    return rows_.emplace(server, std::move(row)).first->second.get();
 }
 
-void stage_dispatcher::pump(pool& row)
+void stage_dispatcher::pump_soon(server_row& row)
+{
+    // Pieces of one request arrive together; the call is made after them.
+    if (row.pump_pending)
+    {
+        return;
+    }
+    row.pump_pending = true;
+    asio::post(io_,
+               [this, &row]
+               {
+                   row.pump_pending = false;
+                   pump(row);
+               });
+}
+
+void stage_dispatcher::pump(server_row& row)
 {
     const auto now = boot_clock::now();
-    for (const auto& piece : row.scheduler.take_expired(now))
+    const auto outlook = row.queue.outlook(now);
+    if (!row.server || outlook.avoid > milliseconds(0))
     {
-        const auto client = clients_[piece.run].lock();
-        if (client)
-        {
-            client->piece_ended(piece.piece, {stage_item_end::late, {}});
-        }
+        send_back(row.queue.take_all(), stage_item_end::unsent);
+        return;
     }
-    const auto& servers = state_.directory().servers(row.service);
-    while (auto call = row.scheduler.next(servers, now))
+    const auto* figures = figures_of(row.server->service);
+    if (figures != nullptr)
     {
-        asio::co_spawn(io_, make_call(row.service, std::move(*call)),
-                       asio::detached);
+        row.queue.configure(*figures);
     }
-    const auto wake = row.scheduler.next_time();
-    if (wake)
+    send_back(row.queue.take_expired(now), stage_item_end::late);
+    auto pieces = row.queue.begin_call(now);
+    if (!pieces.empty())
     {
-        constexpr milliseconds least{20};
-        const auto wait = std::chrono::duration_cast<milliseconds>(*wake - now);
-        row.timer.expires_after(std::max(wait, least));
-        row.timer.async_wait(
-            [this, &row](const error_code& cancelled)
-            {
-                if (!cancelled)
-                {
-                    pump(row);
-                }
-            });
+        asio::co_spawn(io_, make_call(row, std::move(pieces)), asio::detached);
     }
 }
 
-void stage_dispatcher::arm(pool& row)
+void stage_dispatcher::send_back(std::vector<waiting_piece> pieces,
+                                 stage_item_end end)
 {
-    row.timer.expires_after(milliseconds(0));
-    row.timer.async_wait(
-        [this, &row](const error_code& cancelled)
+    for (const auto& row : pieces)
+    {
+        const auto client = row.order->client.lock();
+        if (client)
         {
-            if (!cancelled)
-            {
-                pump(row);
-            }
-        });
+            client->piece_ended({row.order->stage, row.piece}, {end, {}});
+        }
+    }
 }
 
-asio::awaitable<void> stage_dispatcher::make_call(std::string service,
-                                                  planned_call call)
+asio::awaitable<void>
+stage_dispatcher::make_call(server_row& row, std::vector<waiting_piece> pieces)
 {
-    pool& row = *pools_.at(service);
-    std::vector<stage_call_item> items;
-    std::vector<waiting_piece> wanted;
-    for (const auto& piece : call.pieces)
-    {
-        const auto client = clients_[piece.run].lock();
-        auto item = client ? client->call_item(piece.piece) : std::nullopt;
-        const bool allowed = !piece.sent_before ||
-                             state_.allowance(service).take(boot_clock::now());
-        if (item && allowed)
-        {
-            items.push_back(std::move(*item));
-            wanted.push_back(piece);
-        }
-        else if (client)
-        {
-            client->piece_ended(piece.piece, {stage_item_end::late, {}});
-        }
-    }
-    call.pieces = std::move(wanted);
+    const auto server = row.server;
     const auto began = boot_clock::now();
-    call_result result;
-    result.answered = true;
-    if (!items.empty())
-    {
-        result = co_await exchange(call, std::move(items));
-    }
+    const auto limit = row.queue.call_limit(pieces.size());
+    const call_result result = co_await exchange(server, pieces, limit);
     const auto now = boot_clock::now();
     const auto took = std::chrono::duration_cast<milliseconds>(now - began);
-    row.scheduler.call_ended(call.server->id, call.pieces.size(), took,
-                             result.load, result.answered, now);
-    row.calls.add();
-    row.pieces.add(call.pieces.size());
-    if (!result.answered || result.shed)
-    {
-        row.failures.add();
-        log_warning("stage", "Call failed.",
-                    {{"service", service},
-                     {"server", call.server->id},
-                     {"call", call_text(call.pieces.size(), took)},
-                     {"outcome", result.shed ? "no room" : "no answer"}});
-    }
-    else if (log_enabled(log_level::detail))
+    std::uint64_t reserved = 0;
+    for (const auto& piece : pieces)
     {
-        log_detail("stage", "Call ended.",
-                   {{"service", service},
-                    {"server", call.server->id},
-                    {"call", call_text(call.pieces.size(), took)}});
+        reserved += piece.order->result_bytes;
     }
-    end_pieces(row, call, result);
-    pump(row);
+    const bool good = result.answered && !result.shed;
+    row.queue.call_ended(pieces.size(), reserved, took, good, now);
+    log_call(row, pieces.size(), took, result);
+    end_pieces(row, pieces, result);
+    pump_soon(row);
 }
 
 asio::awaitable<stage_dispatcher::call_result>
-stage_dispatcher::exchange(const planned_call& call,
-                           std::vector<stage_call_item> items)
+stage_dispatcher::exchange(server_pointer server,
+                           const std::vector<waiting_piece>& pieces,
+                           milliseconds limit)
 {
-    call_result result;
-    const auto lease =
-        co_await connections_.acquire(call.server, connect_limit);
-    if (!lease.connection)
+    std::vector<stage_call_item> items;
+    const auto now = boot_clock::now();
+    for (const auto& row : pieces)
     {
-        co_return result;
+        const auto& order = *row.order;
+        items.push_back(
+            {order.request_id,
+             {order.stage, row.piece},
+             std::chrono::duration_cast<milliseconds>(order.deadline - now),
+             order.piece_key,
+             order.inputs});
     }
-    auto current = std::make_shared<backend_exchange>(
-        lease.connection, protocol_, protocol_.stage_call(*call.server, items),
-        std::string());
-    const time_limit guard(io_, call.limit, [current] { current->abort(); });
-    if (!co_await current->begin())
+    call_result result;
+    text_request request = protocol_.stage_call(*server, items);
+    const auto answer = co_await call(server, std::move(request), limit);
+    if (!answer)
     {
         co_return result;
     }
-    std::string body;
-    while (!current->complete())
-    {
-        if (!co_await current->read_some(body))
-        {
-            co_return result;
-        }
-    }
-    const auto& facts = current->facts();
-    result.load = facts.load;
-    result.shed = facts.proven_not_run;
-    if (current->reusable())
-    {
-        connections_.release(call.server->id, current->connection(),
-                             facts.keep_alive);
-    }
-    if (current->head().result() == http::status::ok)
+    result.shed = protocol_.read_answer(*answer).proven_not_run;
+    if (answer->result() == http::status::ok)
     {
-        result.items = protocol_.read_stage_answer(body, items.size());
+        result.items =
+            protocol_.read_stage_answer(answer->body(), items.size());
     }
     result.answered = result.shed || !result.items.empty();
     co_return result;
 }
 
-void stage_dispatcher::end_pieces(pool& row, const planned_call& call,
+void stage_dispatcher::end_pieces(server_row& row,
+                                  const std::vector<waiting_piece>& pieces,
                                   const call_result& result)
 {
-    static constexpr const char* names[] = {"made", "late", "no_input",
-                                            "no_room", "failed"};
-    for (std::size_t i = 0; i < call.pieces.size(); ++i)
+    static constexpr const char* names[] = {"made",    "late",   "no_input",
+                                            "no_room", "failed", "unsent"};
+    for (std::size_t i = 0; i < pieces.size(); ++i)
     {
-        const auto& piece = call.pieces[i];
+        const auto& order = *pieces[i].order;
         stage_item_answer answer;
         if (i < result.items.size())
         {
             answer = result.items[i];
         }
-        if (answer.end != stage_item_end::made)
+        if (answer.end == stage_item_end::made)
+        {
+            row.queue.room().keep(answer.handle, order.result_bytes,
+                                  boot_clock::now());
+        }
+        else
         {
             const std::string end = names[static_cast<std::size_t>(answer.end)];
             metrics_
                 .counter("mangolink_stage_pieces_failed_total",
-                         "service=\"" + row.service + "\",end=\"" + end + "\"")
+                         "service=\"" + order.service + "\",end=\"" + end +
+                             "\"")
                 .add();
             log_notice("stage", "Piece not made.",
-                       {{"run", std::to_string(piece.run)},
-                        {"service", row.service},
-                        {"server", call.server->id},
-                        {"stage", std::to_string(piece.piece.stage)},
+                       {{"id", order.request_id},
+                        {"service", order.service},
+                        {"server", row.server ? row.server->id : "gone"},
+                        {"stage", std::to_string(order.stage)},
+                        {"piece", std::to_string(pieces[i].piece)},
                         {"end", end}});
         }
-        const auto found = clients_.find(piece.run);
-        const auto client =
-            found == clients_.end() ? nullptr : found->second.lock();
+        const auto client = order.client.lock();
         if (client)
         {
-            client->piece_ended(piece.piece, std::move(answer));
+            client->piece_ended({order.stage, pieces[i].piece},
+                                std::move(answer));
         }
         else if (answer.end == stage_item_end::made)
         {
@@ -322,48 +387,176 @@
     }
 }
 
-asio::awaitable<void> stage_dispatcher::flush_releases()
+void stage_dispatcher::log_call(const server_row& row, std::size_t pieces,
+                                milliseconds took, const call_result& result)
+{
+    const std::string service = row.server ? row.server->service : "";
+    const std::string label = "service=\"" + service + "\"";
+    metrics_.counter("mangolink_stage_calls_total", label).add();
+    metrics_.counter("mangolink_stage_pieces_total", label).add(pieces);
+    const std::string call_text = std::to_string(pieces) + " pieces in " +
+                                  std::to_string(took.count()) + " ms";
+    const std::string server = row.server ? row.server->id : "gone";
+    if (!result.answered || result.shed)
+    {
+        metrics_.counter("mangolink_stage_failures_total", label).add();
+        log_warning("stage", "Call failed.",
+                    {{"service", service},
+                     {"server", server},
+                     {"call", call_text},
+                     {"outcome", result.shed ? "no room" : "no answer"}});
+    }
+    else if (log_enabled(log_level::detail))
+    {
+        log_detail(
+            "stage", "Call ended.",
+            {{"service", service}, {"server", server}, {"call", call_text}});
+    }
+}
+
+asio::awaitable<void>
+stage_dispatcher::order_from(std::shared_ptr<const stage_order> order,
+                             server_pointer server, peer maker)
+{
+    const auto now = boot_clock::now();
+    const auto* figures = figures_of(order->service);
+    const auto expected =
+        figures == nullptr
+            ? milliseconds(0)
+            : router_.expected_time(*server, *figures, order->pieces.size(),
+                                    order->result_bytes, now);
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(order->deadline - now);
+    const auto limit =
+        std::min(left, expected * order_limit_factor + order_reserve);
+    text_request request =
+        peer_request(maker, order_path, encode_order(*order, server->id, now));
+    auto to = as_server(maker);
+    const auto answer = co_await call(std::move(to), std::move(request), limit);
+    const auto client = order->client.lock();
+    const auto reports = answer && answer->result() == http::status::ok
+                             ? decode_reply(answer->body())
+                             : std::nullopt;
+    if (reports)
+    {
+        for (const auto& report : *reports)
+        {
+            if (client)
+            {
+                client->piece_ended({order->stage, report.piece},
+                                    report.answer);
+            }
+            else if (report.answer.end == stage_item_end::made)
+            {
+                release({report.answer.handle});
+            }
+        }
+        co_return;
+    }
+    if (!client || !client->wants_pieces())
+    {
+        co_return;
+    }
+    metrics_.counter("mangolink_orders_taken_over_total").add();
+    log_warning("stage", "Order taken over: the responsible process is silent.",
+                {{"id", order->request_id},
+                 {"process", maker.name},
+                 {"server", server->id},
+                 {"limit_ms", std::to_string(limit.count())}});
+    enqueue(server->id, order);
+}
+
+asio::awaitable<void> stage_dispatcher::route_releases()
 {
-    asio::steady_timer timer(io_, release_delay);
-    error_code ignored; // the timer is never cancelled
-    co_await timer.async_wait(into(ignored));
+    co_await pause(io_, release_delay);
     release_pending_ = false;
-    const auto batch = std::exchange(to_release_, {});
-    for (const auto& [address, handles] : batch)
+    const auto handles = std::exchange(to_release_, {});
+    absl::flat_hash_map<std::string, std::vector<std::string>> by_keeper;
+    for (const auto& handle : handles)
     {
-        auto server = state_.directory().find_address(address);
-        if (server)
+        by_keeper[std::string(protocol_.keeper(handle))].push_back(handle);
+    }
+    for (auto& [address, list] : by_keeper)
+    {
+        const auto server = state_.directory().find_address(address);
+        if (!server)
         {
-            asio::co_spawn(io_, release_at(std::move(server), handles),
+            continue; // results do not outlive their server
+        }
+        const peer* maker = peers_.responsible(server->id, server->zone);
+        if (maker == nullptr)
+        {
+            release_here(server->id, list);
+        }
+        else
+        {
+            asio::co_spawn(io_, release_at(*maker, server->id, std::move(list)),
                            asio::detached);
         }
     }
 }
 
 asio::awaitable<void>
-stage_dispatcher::release_at(std::shared_ptr<const backend_server> server,
+stage_dispatcher::release_at(peer maker, std::string server,
                              std::vector<std::string> handles)
 {
-    const auto lease = co_await connections_.acquire(server, connect_limit);
+    const release_message message{server, handles};
+    text_request request =
+        peer_request(maker, release_path, encode_release(message));
+    auto to = as_server(maker);
+    const auto answer =
+        co_await call(std::move(to), std::move(request), release_limit);
+    if (!answer)
+    {
+        release_here(server, handles);
+    }
+}
+
+asio::awaitable<void> stage_dispatcher::free_results(server_row& row)
+{
+    co_await pause(io_, release_delay);
+    row.free_pending = false;
+    const auto handles = std::exchange(row.to_free, {});
+    const auto server = row.server;
+    if (!server)
+    {
+        co_return;
+    }
+    text_request request = protocol_.release_call(*server, handles);
+    // Results that could not be given up expire by themselves.
+    co_await call(server, std::move(request), release_limit);
+}
+
+asio::awaitable<std::optional<text_response>>
+stage_dispatcher::call(server_pointer to, text_request request,
+                       milliseconds limit)
+{
+    const auto lease = co_await connections_.acquire(to, connect_limit);
     if (!lease.connection)
     {
-        co_return; // results that are not given up expire by themselves
+        co_return std::nullopt;
     }
     auto current = std::make_shared<backend_exchange>(
-        lease.connection, protocol_, protocol_.release_call(*server, handles),
-        "");
-    const time_limit guard(io_, release_limit, [current] { current->abort(); });
-    std::string body;
+        lease.connection, protocol_, std::move(request), std::string());
+    const time_limit guard(io_, limit, [current] { current->abort(); });
     bool open = co_await current->begin();
+    text_response answer;
     while (open && !current->complete())
     {
-        open = co_await current->read_some(body);
+        open = co_await current->read_some(answer.body());
+    }
+    if (!open)
+    {
+        current->abort();
+        co_return std::nullopt;
     }
     if (current->reusable())
     {
-        connections_.release(server->id, current->connection(),
+        connections_.release(to->id, current->connection(),
                              current->facts().keep_alive);
     }
+    answer.base() = current->head();
+    co_return answer;
 }
 
 } // namespace mangolink
--- a/src/connection/stage_dispatcher.hpp
+++ b/src/connection/stage_dispatcher.hpp
@@ -3,7 +3,9 @@
 #include "base/clock.hpp"
 #include "connection/asio_types.hpp"
 #include "connection/forward_protocol.hpp"
-#include "request/stage_pool_scheduler.hpp"
+#include "request/stage_order.hpp"
+#include "request/stage_queue.hpp"
+#include "request/stage_router.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -16,95 +18,123 @@
 {
 
 class backend_pool;
-class backend_exchange;
 class event_counter;
 class gateway_state;
 class metrics_registry;
+class peer_directory;
 struct gateway_settings;
+struct peer;
 
-/// Request whose stages are made; told of each piece.
-class stage_client
+/// Outlook of a server that this process makes the calls of.
+struct named_outlook final
 {
-public:
-    virtual ~stage_client() = default;
-
-    /// Returns what a call says of a piece; nothing when it is not wanted.
-    virtual std::optional<stage_call_item> call_item(stage_piece piece) = 0;
-
-    /// Takes the end of a piece. A result that is not wanted is given up by
-    /// the client.
-    virtual void piece_ended(stage_piece piece, stage_item_answer answer) = 0;
+    std::string server;
+    server_outlook outlook;
 };
 
-/// Makes the calls of all stage pools and gives up results that are no longer
-/// needed. Used by one thread.
+/// Has the pieces of stages made.
+///
+/// The calls of a stage server are assembled by one process, so that they
+/// are full and the server never gets more than it can hold; orders for
+/// other servers go to the processes responsible for them. A process that
+/// does not answer is replaced by this one: a piece may be made twice.
+/// Used by one thread.
 class stage_dispatcher final
 {
 public:
     stage_dispatcher(asio::io_context& io, const gateway_settings& settings,
                      const forward_protocol& protocol, gateway_state& state,
-                     backend_pool& connections, metrics_registry& metrics);
+                     peer_directory& peers, backend_pool& connections,
+                     metrics_registry& metrics);
     ~stage_dispatcher();
 
-    /// Names a request; the number must not be in use.
-    void enroll(std::uint64_t run, std::weak_ptr<stage_client> client);
+    /// Chooses a server for the pieces and has them made.
+    void submit(std::shared_ptr<const stage_order> order);
 
-    /// Forgets a request and its waiting pieces.
-    void withdraw(std::uint64_t run);
+    /// Queues pieces for a server's next call, here.
+    void enqueue(const std::string& server,
+                 std::shared_ptr<const stage_order> order);
 
-    /// Queues a piece of an enrolled request.
-    void add(const std::string& service, waiting_piece piece);
-
-    /// Returns how long a new piece of a service would take.
-    milliseconds expected_time(const std::string& service);
+    /// Returns how long pieces of a service would take.
+    milliseconds expected_time(const std::string& service, std::size_t pieces,
+                               std::uint64_t result_bytes) const;
 
     /// Gives results up, soon and many at a time.
     void release(const std::vector<std::string>& handles);
 
+    /// Gives results up at a server that this process makes the calls of.
+    void release_here(const std::string& server,
+                      const std::vector<std::string>& handles);
+
+    /// Takes what another process tells of a server.
+    void take_outlook(const std::string& server, const server_outlook& outlook);
+
+    /// Returns the outlooks of the servers that this process calls.
+    std::vector<named_outlook> outlooks();
+
+    /// Returns whether pieces wait or are being made.
+    bool busy() const;
+
     /// Starts the calls that are due; call it after changes of the directory.
     void pump_all();
 
 private:
-    struct pool final
+    struct server_row final
     {
-        std::string service;
-        stage_pool_scheduler scheduler;
-        asio::steady_timer timer;
-        event_counter& calls;
-        event_counter& pieces;
-        event_counter& failures;
+        std::shared_ptr<const backend_server> server;
+        stage_queue queue;
+        std::vector<std::string> to_free;
+        bool pump_pending = false;
+        bool free_pending = false;
     };
     struct call_result final
     {
         bool answered = false; ///< made or refused, not lost
         bool shed = false;
-        std::optional<server_load> load;
         std::vector<stage_item_answer> items;
     };
 
-    pool* pool_of(const std::string& service);
-    void pump(pool& row);
-    void arm(pool& row);
-    asio::awaitable<void> make_call(std::string service, planned_call call);
-    asio::awaitable<call_result> exchange(const planned_call& call,
-                                          std::vector<stage_call_item> items);
-    void end_pieces(pool& row, const planned_call& call,
+    using server_pointer = std::shared_ptr<const backend_server>;
+
+    const stage_pool_figures* figures_of(const std::string& service) const;
+    server_row* row_of(const std::string& server);
+    void pump_soon(server_row& row);
+    void pump(server_row& row);
+    void send_back(std::vector<waiting_piece> pieces, stage_item_end end);
+    asio::awaitable<void> make_call(server_row& row,
+                                    std::vector<waiting_piece> pieces);
+    asio::awaitable<call_result>
+    exchange(server_pointer server, const std::vector<waiting_piece>& pieces,
+             milliseconds limit);
+    void end_pieces(server_row& row, const std::vector<waiting_piece>& pieces,
                     const call_result& result);
-    asio::awaitable<void> flush_releases();
-    asio::awaitable<void>
-    release_at(std::shared_ptr<const backend_server> server,
-               std::vector<std::string> handles);
+    void log_call(const server_row& row, std::size_t pieces, milliseconds took,
+                  const call_result& result);
+    asio::awaitable<void> order_from(std::shared_ptr<const stage_order> order,
+                                     server_pointer server, peer maker);
+    asio::awaitable<void> route_releases();
+    asio::awaitable<void> release_at(peer maker, std::string server,
+                                     std::vector<std::string> handles);
+    asio::awaitable<void> free_results(server_row& row);
+    /// Makes a call and returns the whole body, or nothing.
+    asio::awaitable<std::optional<text_response>>
+    call(server_pointer to, text_request request, milliseconds limit);
 
     asio::io_context& io_;
     const gateway_settings& settings_;
     const forward_protocol& protocol_;
     gateway_state& state_;
+    peer_directory& peers_;
     backend_pool& connections_;
     metrics_registry& metrics_;
-    absl::flat_hash_map<std::string, std::unique_ptr<pool>> pools_;
-    absl::flat_hash_map<std::uint64_t, std::weak_ptr<stage_client>> clients_;
-    absl::flat_hash_map<std::string, std::vector<std::string>> to_release_;
+    stage_router router_;
+    absl::flat_hash_map<std::string, std::unique_ptr<server_row>> rows_;
+    std::vector<std::string> to_release_;
     bool release_pending_ = false;
 };
 
+/// Paths at which processes take messages of others.
+constexpr const char* order_path = "/orders";
+constexpr const char* release_path = "/releases";
+
 } // namespace mangolink
--- /dev/null
+++ b/src/process/peer_directory.cpp
@@ -0,0 +1,159 @@
+#include "process/peer_directory.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+
+namespace mangolink
+{
+namespace
+{
+
+/// An address at which nobody was heard is given up after this time.
+constexpr milliseconds candidate_memory{15'000};
+
+constexpr std::size_t most_candidates = 64;
+
+/// A process of the server's zone goes first. The rank must be the same in
+/// every process, so nothing else that depends on the viewer counts.
+int nearness(const peer& one, std::string_view zone)
+{
+    return one.stopping ? -1 : one.zone == zone ? 1 : 0;
+}
+
+} // namespace
+
+peer_directory::peer_directory(peer_directory_settings settings)
+    : settings_(std::move(settings))
+{
+}
+
+peer_change peer_directory::heard(const peer& from, boot_clock::time_point now)
+{
+    if (from.started == settings_.self.started)
+    {
+        return peer_change::none;
+    }
+    const auto found = peers_.find(from.name);
+    auto change = peer_change::joined;
+    if (found != peers_.end())
+    {
+        const peer& known = found->second.facts;
+        change = known.started != from.started      ? peer_change::restarted
+                 : from.stopping && !known.stopping ? peer_change::stopping
+                                                    : peer_change::none;
+    }
+    peers_[from.name] = {from, now};
+    return change;
+}
+
+void peer_directory::learned(const socket_address& address,
+                             boot_clock::time_point now)
+{
+    if (address == settings_.self.address)
+    {
+        return;
+    }
+    const auto same = [&address](const candidate& row)
+    { return row.address == address; };
+    const auto known =
+        std::find_if(candidates_.begin(), candidates_.end(), same);
+    if (known != candidates_.end())
+    {
+        known->learned = now;
+        return;
+    }
+    if (candidates_.size() < most_candidates)
+    {
+        candidates_.push_back({address, now});
+    }
+}
+
+std::vector<std::string> peer_directory::expire(boot_clock::time_point now)
+{
+    std::vector<std::string> silent;
+    for (const auto& [name, row] : peers_)
+    {
+        if (now - row.heard > settings_.silence_limit)
+        {
+            silent.push_back(name);
+        }
+    }
+    for (const auto& name : silent)
+    {
+        // It may return at its address.
+        learned(peers_[name].facts.address, now);
+        peers_.erase(name);
+    }
+    std::erase_if(candidates_, [now](const candidate& row)
+                  { return now - row.learned > candidate_memory; });
+    return silent;
+}
+
+std::vector<socket_address> peer_directory::alive() const
+{
+    std::vector<socket_address> result;
+    for (const auto& [name, row] : peers_)
+    {
+        result.push_back(row.facts.address);
+    }
+    return result;
+}
+
+std::vector<socket_address> peer_directory::contacts() const
+{
+    std::vector<socket_address> result = alive();
+    for (const auto& row : candidates_)
+    {
+        if (std::find(result.begin(), result.end(), row.address) ==
+            result.end())
+        {
+            result.push_back(row.address);
+        }
+    }
+    return result;
+}
+
+const peer* peer_directory::responsible(std::string_view server,
+                                        std::string_view zone) const
+{
+    const auto rank = [server](const peer& one)
+    { return stable_hash(server, stable_hash(one.name)); };
+    const peer* best = &settings_.self;
+    int best_nearness = nearness(*best, zone);
+    for (const auto& [name, row] : peers_)
+    {
+        const int near = nearness(row.facts, zone);
+        if (near > best_nearness ||
+            (near == best_nearness && rank(row.facts) > rank(*best)))
+        {
+            best = &row.facts;
+            best_nearness = near;
+        }
+    }
+    return best == &settings_.self ? nullptr : best;
+}
+
+const peer* peer_directory::find(std::string_view name) const
+{
+    const auto found = peers_.find(std::string(name));
+    return found == peers_.end() ? nullptr : &found->second.facts;
+}
+
+std::size_t peer_directory::most_lately(boot_clock::time_point now)
+{
+    while (!counts_.empty() &&
+           now - counts_.front().at > settings_.count_memory)
+    {
+        counts_.pop_front();
+    }
+    counts_.push_back({now, peers_.size() + 1});
+    std::size_t most = 1;
+    for (const auto& sample : counts_)
+    {
+        most = std::max(most, sample.count);
+    }
+    return most;
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/process/peer_directory.hpp
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "base/incarnation.hpp"
+#include "base/socket_address.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mangolink
+{
+
+/// Another process of the same role.
+struct peer final
+{
+    incarnation started; ///< random per process start
+    std::string name;
+    std::string zone;
+    socket_address address; ///< where it takes orders and beats
+    bool stopping = false;
+};
+
+/// What a beat of a peer changed.
+enum class peer_change : std::uint8_t
+{
+    none,
+    joined,
+    restarted,
+    stopping
+};
+
+/// Settings of a peer directory.
+struct peer_directory_settings final
+{
+    peer self;
+    milliseconds silence_limit{900}; ///< four beats and a slow link
+    milliseconds count_memory{20'000};
+};
+
+/// Knows which processes of the role are alive, from their beats, and which
+/// of them is responsible for a backend server.
+///
+/// Views of two processes may differ for a while; who is responsible is then
+/// not unique, and nothing may depend on it but efficiency. Used by one
+/// thread.
+class peer_directory final
+{
+public:
+    explicit peer_directory(peer_directory_settings settings);
+
+    /// Takes a beat.
+    peer_change heard(const peer& from, boot_clock::time_point now);
+
+    /// Takes an address at which a peer may be.
+    void learned(const socket_address& address, boot_clock::time_point now);
+
+    /// Forgets peers that were silent for too long; returns their names.
+    std::vector<std::string> expire(boot_clock::time_point now);
+
+    /// Returns where beats should go: all peers, and addresses where one may
+    /// be.
+    std::vector<socket_address> contacts() const;
+
+    /// Returns the addresses of the peers that are alive.
+    std::vector<socket_address> alive() const;
+
+    /// Returns the peer responsible for a server in a zone; null when this
+    /// process is.
+    const peer* responsible(std::string_view server,
+                            std::string_view zone) const;
+
+    /// Returns the peer of that name, or null.
+    const peer* find(std::string_view name) const;
+
+    const peer& self() const { return settings_.self; }
+
+    /// Marks this process as stopping.
+    void stop() { settings_.self.stopping = true; }
+
+    std::size_t size() const { return peers_.size(); }
+
+    /// Returns the most processes, this one included, that were alive at once
+    /// within the memory; for shares of common bounds.
+    std::size_t most_lately(boot_clock::time_point now);
+
+private:
+    struct peer_row final
+    {
+        peer facts;
+        boot_clock::time_point heard;
+    };
+    struct candidate final
+    {
+        socket_address address;
+        boot_clock::time_point learned;
+    };
+    struct count_sample final
+    {
+        boot_clock::time_point at;
+        std::size_t count = 0;
+    };
+
+    /// Returns 2 in the zone, 1 in the own region's zones, else 0.
+
+    peer_directory_settings settings_;
+    absl::flat_hash_map<std::string, peer_row> peers_;
+    std::vector<candidate> candidates_;
+    std::deque<count_sample> counts_;
+};
+
+} // namespace mangolink
--- a/src/request/direct_balancer.cpp
+++ b/src/request/direct_balancer.cpp
@@ -220,14 +220,8 @@
 
 double direct_balancer::distance_ms(const std::string& zone) const
 {
-    if (zone == place_.zone)
-    {
-        return 0;
-    }
-    const auto& near = place_.region_zones;
-    return std::find(near.begin(), near.end(), zone) != near.end()
-               ? zone_cost_ms
-               : region_cost_ms;
+    static constexpr double costs[] = {0, zone_cost_ms, region_cost_ms};
+    return costs[static_cast<std::size_t>(place_.to(zone))];
 }
 
 } // namespace mangolink
--- a/src/request/direct_balancer.hpp
+++ b/src/request/direct_balancer.hpp
@@ -2,7 +2,7 @@
 
 #include "base/clock.hpp"
 #include "process/backend_server.hpp"
-#include "request/stage_pool_scheduler.hpp"
+#include "process/placement.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
--- /dev/null
+++ b/src/request/result_room.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "base/clock.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <deque>
+#include <string>
+
+namespace mangolink
+{
+
+/// Counts the room that results take at a stage server, so that no piece is
+/// sent that would find none. Used by one thread.
+class result_room final
+{
+public:
+    /// `room`: bytes for results; `lifetime`: after which the server drops a
+    /// result by itself.
+    result_room(std::uint64_t room, milliseconds lifetime)
+        : room_(room), lifetime_(lifetime)
+    {
+    }
+
+    /// Sets the figures of a new configuration.
+    void configure(std::uint64_t room, milliseconds lifetime);
+
+    /// Reserves room for a piece that is about to be made.
+    void reserve(std::uint64_t bytes) { reserved_ += bytes; }
+
+    /// Gives a reservation back.
+    void unreserve(std::uint64_t bytes);
+
+    /// Counts a result that the server keeps from now on.
+    void keep(const std::string& handle, std::uint64_t bytes,
+              boot_clock::time_point now);
+
+    /// Counts that a result was given up.
+    void release(const std::string& handle);
+
+    /// Returns the bytes that are free.
+    std::uint64_t free(boot_clock::time_point now);
+
+private:
+    struct kept_result final
+    {
+        std::string handle;
+        boot_clock::time_point until;
+    };
+
+    std::uint64_t room_;
+    milliseconds lifetime_;
+    std::uint64_t reserved_ = 0;
+    std::uint64_t kept_ = 0;
+    absl::flat_hash_map<std::string, std::uint64_t> results_;
+    std::deque<kept_result> by_age_;
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/request/stage_queue.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "request/result_room.hpp"
+#include "request/stage_order.hpp"
+#include "version/gateway_service.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace mangolink
+{
+
+/// Piece that waits for a call.
+struct waiting_piece final
+{
+    std::shared_ptr<const stage_order> order;
+    std::uint32_t piece = 0;
+};
+
+/// What others may expect of a stage server.
+struct server_outlook final
+{
+    std::uint32_t pieces = 0; ///< waiting for a call
+    milliseconds busy{0};     ///< until the running call should end
+    double slowdown = 1;      ///< time taken over time expected, smoothed
+    milliseconds avoid{0};    ///< the server failed; not used for this long
+    std::uint64_t free_bytes = 0;
+};
+
+/// Assembles the pieces of many requests into calls of one stage server.
+///
+/// A call costs a fixed time whatever it holds, so the server gets one call
+/// at a time and the next one holds all that came meanwhile. Under bursts the
+/// pieces that can still be in time go first, the most urgent ahead; what
+/// comes too late anyway fills up. No piece is sent without room for its
+/// result. Used by one thread.
+class stage_queue final
+{
+public:
+    explicit stage_queue(const stage_pool_figures& figures);
+
+    void configure(const stage_pool_figures& figures);
+
+    void add(const std::shared_ptr<const stage_order>& order);
+
+    /// Returns the pieces of the next call and counts it as running; empty
+    /// when no call should be made now.
+    std::vector<waiting_piece> begin_call(boot_clock::time_point now);
+
+    /// Returns and drops the pieces that cannot be made before their deadline
+    /// or that nobody wants any more.
+    std::vector<waiting_piece> take_expired(boot_clock::time_point now);
+
+    /// Returns and drops all pieces that wait.
+    std::vector<waiting_piece> take_all() { return std::exchange(queue_, {}); }
+
+    /// Takes the end of a call.
+    void call_ended(std::size_t pieces, std::uint64_t reserved_bytes,
+                    milliseconds took, bool answered,
+                    boot_clock::time_point now);
+
+    /// Returns how long a call with this many pieces may take before the
+    /// server counts as failed.
+    milliseconds call_limit(std::size_t pieces) const;
+
+    server_outlook outlook(boot_clock::time_point now);
+
+    result_room& room() { return room_; }
+    bool busy() const { return calls_ > 0 || !queue_.empty(); }
+
+private:
+    milliseconds nominal(std::size_t pieces) const;
+    milliseconds expected(std::size_t pieces) const;
+
+    stage_pool_figures figures_;
+    result_room room_;
+    std::vector<waiting_piece> queue_;
+    std::uint32_t calls_ = 0;
+    boot_clock::time_point busy_until_;
+    boot_clock::time_point avoid_until_;
+    double slowdown_ = 1;
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/request/stage_router.cpp
@@ -0,0 +1,114 @@
+#include "request/stage_router.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+
+namespace mangolink
+{
+namespace
+{
+
+/// What is told of a server is forgotten after this time.
+constexpr milliseconds outlook_lifetime{2000};
+
+/// Price of results that are read from another zone or region, as the time
+/// that a caller would wait instead: a fixed part, and a part a megabyte.
+constexpr milliseconds zone_cost{10};
+constexpr milliseconds region_cost{45};
+constexpr double megabyte_cost_ms = 20;
+
+/// Wait for room that a result which does not fit is expected to need.
+constexpr milliseconds room_wait{300};
+
+} // namespace
+
+stage_router::stage_router(placement place) : place_(std::move(place))
+{
+}
+
+void stage_router::take_outlook(const std::string& server,
+                                const server_outlook& outlook,
+                                boot_clock::time_point now)
+{
+    rows_[server] = {outlook, now, 0};
+}
+
+void stage_router::count_sent(const std::string& server, std::size_t pieces)
+{
+    rows_[server].sent += pieces;
+}
+
+stage_router::server_pointer
+stage_router::choose(const std::vector<server_pointer>& servers,
+                     const stage_pool_figures& figures, std::size_t pieces,
+                     std::uint64_t result_bytes,
+                     boot_clock::time_point now) const
+{
+    server_pointer best;
+    milliseconds least{0};
+    for (const auto& server : servers)
+    {
+        auto price = expected_time(*server, figures, pieces, result_bytes, now);
+        const auto away = place_.to(server->zone);
+        if (away != distance::same_zone)
+        {
+            constexpr double megabyte = 1e6;
+            const double bytes =
+                static_cast<double>(result_bytes) * static_cast<double>(pieces);
+            price += away == distance::same_region ? zone_cost : region_cost;
+            price += milliseconds(
+                static_cast<std::int64_t>(megabyte_cost_ms * bytes / megabyte));
+        }
+        if (!best || price < least)
+        {
+            best = server;
+            least = price;
+        }
+    }
+    return best;
+}
+
+milliseconds stage_router::expected_time(const backend_server& server,
+                                         const stage_pool_figures& figures,
+                                         std::size_t pieces,
+                                         std::uint64_t result_bytes,
+                                         boot_clock::time_point now) const
+{
+    using std::chrono::duration_cast;
+    const auto batch = std::max<std::size_t>(1, figures.batch_size);
+    const auto call = [&figures](std::size_t held)
+    {
+        return figures.call_time +
+               figures.item_time * static_cast<std::int64_t>(held);
+    };
+    server_outlook known;
+    std::size_t ahead = 0;
+    milliseconds age{0};
+    const auto found = rows_.find(server.id);
+    if (found != rows_.end())
+    {
+        age = duration_cast<milliseconds>(now - found->second.at);
+        ahead = found->second.sent;
+        if (age < outlook_lifetime)
+        {
+            known = found->second.outlook;
+            ahead += known.pieces;
+        }
+    }
+    auto wait = std::max(known.busy - age, milliseconds(0)) +
+                std::max(known.avoid - age, milliseconds(0));
+    const bool told = found != rows_.end() && age < outlook_lifetime;
+    if (told && known.free_bytes < result_bytes * (pieces + ahead))
+    {
+        wait += room_wait;
+    }
+    const std::size_t total = ahead + pieces;
+    const std::size_t full_calls = (total - 1) / batch;
+    const std::size_t rest = total - full_calls * batch;
+    const auto work =
+        call(batch) * static_cast<std::int64_t>(full_calls) + call(rest);
+    return wait + duration_cast<milliseconds>(work * known.slowdown);
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/request/stage_router.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "process/backend_server.hpp"
+#include "process/placement.hpp"
+#include "request/stage_queue.hpp"
+#include "version/gateway_service.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mangolink
+{
+
+/// Chooses the stage server that makes the pieces of an order, from what the
+/// processes that make the servers' calls have told.
+///
+/// All pieces of an order go to one server: their results then lie together,
+/// near the model engine that reads them. Work leaves the zone only when the
+/// wait there is longer by more than what crossing it costs. Used by one
+/// thread.
+class stage_router final
+{
+public:
+    using server_pointer = std::shared_ptr<const backend_server>;
+
+    explicit stage_router(placement place);
+
+    /// Takes what is told of a server.
+    void take_outlook(const std::string& server, const server_outlook& outlook,
+                      boot_clock::time_point now);
+
+    /// Counts pieces sent to a server since its last outlook.
+    void count_sent(const std::string& server, std::size_t pieces);
+
+    /// Returns the server for the pieces, or null when there is none.
+    server_pointer choose(const std::vector<server_pointer>& servers,
+                          const stage_pool_figures& figures, std::size_t pieces,
+                          std::uint64_t result_bytes,
+                          boot_clock::time_point now) const;
+
+    /// Returns how long pieces would take at a server.
+    milliseconds expected_time(const backend_server& server,
+                               const stage_pool_figures& figures,
+                               std::size_t pieces, std::uint64_t result_bytes,
+                               boot_clock::time_point now) const;
+
+    void forget(const std::string& server) { rows_.erase(server); }
+
+private:
+    struct row final
+    {
+        server_outlook outlook;
+        boot_clock::time_point at;
+        std::size_t sent = 0;
+    };
+
+    placement place_;
+    absl::flat_hash_map<std::string, row> rows_;
+};
+
+} // namespace mangolink
