--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -211,9 +211,9 @@
             i < facts_.piece_counts.size() && facts_.piece_counts[i] > 0;
         if (used)
         {
-            expected += context_.stages.expected_time(stages[i].service,
-                                                      facts_.piece_counts[i],
-                                                      stages[i].result_bytes);
+            expected += context_.stages.expected_time(
+                stages[i].service,
+                {facts_.piece_counts[i], stages[i].result_bytes, {}});
         }
     }
     if (!stages.empty() && expected + engine_time > time_left())
@@ -312,6 +312,11 @@
     order->piece_key = facts_.piece_key;
     order->inputs = plan_->inputs_of(stage);
     order->result_bytes = definition.result_bytes;
+    for (const auto input : definition.inputs_from)
+    {
+        order->input_bytes =
+            std::max(order->input_bytes, plan_->stage(input).result_bytes);
+    }
     order->deadline = deadline_;
     // The time by which the stages that follow must begin.
     const auto after = static_cast<int>(plan_->stages_after(stage));
--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -75,8 +75,7 @@
         figures == nullptr
             ? nullptr
             : router_.choose(state_.directory().servers(order->service),
-                             *figures, order->pieces.size(),
-                             order->result_bytes, now);
+                             *figures, demand_of(*order), now);
     if (!server)
     {
         std::vector<waiting_piece> pieces;
@@ -119,18 +118,15 @@
 }
 
 milliseconds stage_dispatcher::expected_time(const std::string& service,
-                                             std::size_t pieces,
-                                             std::uint64_t result_bytes) const
+                                             const stage_demand& demand) const
 {
     const auto* figures = figures_of(service);
     const auto now = boot_clock::now();
     const auto server =
-        figures == nullptr
-            ? nullptr
-            : router_.choose(state_.directory().servers(service), *figures,
-                             pieces, result_bytes, now);
-    return server ? router_.expected_time(*server, *figures, pieces,
-                                          result_bytes, now)
+        figures == nullptr ? nullptr
+                           : router_.choose(state_.directory().servers(service),
+                                            *figures, demand, now);
+    return server ? router_.expected_time(*server, *figures, demand, now)
                   : milliseconds(0);
 }
 
@@ -214,6 +210,24 @@
     return found != nullptr && found->pool ? &*found->pool : nullptr;
 }
 
+stage_demand stage_dispatcher::demand_of(const stage_order& order) const
+{
+    stage_demand demand;
+    demand.pieces = order.pieces.size();
+    demand.result_bytes = order.result_bytes;
+    for (const auto& input : order.inputs)
+    {
+        const auto keeper =
+            state_.directory().find_address(protocol_.keeper(input));
+        if (keeper)
+        {
+            demand.inputs_in_zone[keeper->zone] +=
+                order.input_bytes * order.pieces.size();
+        }
+    }
+    return demand;
+}
+
 stage_dispatcher::server_row*
 stage_dispatcher::row_of(const std::string& server)
 {
@@ -423,8 +437,7 @@
     const auto expected =
         figures == nullptr
             ? milliseconds(0)
-            : router_.expected_time(*server, *figures, order->pieces.size(),
-                                    order->result_bytes, now);
+            : router_.expected_time(*server, *figures, demand_of(*order), now);
     const auto left =
         std::chrono::duration_cast<milliseconds>(order->deadline - now);
     const auto limit =
--- a/src/connection/stage_dispatcher.hpp
+++ b/src/connection/stage_dispatcher.hpp
@@ -56,8 +56,8 @@
                  std::shared_ptr<const stage_order> order);
 
     /// Returns how long pieces of a service would take.
-    milliseconds expected_time(const std::string& service, std::size_t pieces,
-                               std::uint64_t result_bytes) const;
+    milliseconds expected_time(const std::string& service,
+                               const stage_demand& demand) const;
 
     /// Gives results up, soon and many at a time.
     void release(const std::vector<std::string>& handles);
@@ -97,6 +97,7 @@
     using server_pointer = std::shared_ptr<const backend_server>;
 
     const stage_pool_figures* figures_of(const std::string& service) const;
+    stage_demand demand_of(const stage_order& order) const;
     server_row* row_of(const std::string& server);
     void pump_soon(server_row& row);
     void pump(server_row& row);
--- a/src/request/stage_order.hpp
+++ b/src/request/stage_order.hpp
@@ -39,6 +39,7 @@
     boot_clock::time_point due;      ///< made later, the request is late
     boot_clock::time_point deadline; ///< made later, they are of no use
     std::uint64_t result_bytes = 0;  ///< approximate size of one result
+    std::uint64_t input_bytes = 0;   ///< approximate size of one input
 
     /// Returns whether somebody still waits for the pieces.
     bool wanted() const
--- a/src/request/stage_router.cpp
+++ b/src/request/stage_router.cpp
@@ -12,11 +12,15 @@
 /// What is told of a server is forgotten after this time.
 constexpr milliseconds outlook_lifetime{2000};
 
-/// Price of results that are read from another zone or region, as the time
-/// that a caller would wait instead: a fixed part, and a part a megabyte.
+/// Price of work in another zone or region, as the time that a caller would
+/// wait instead.
 constexpr milliseconds zone_cost{10};
 constexpr milliseconds region_cost{45};
-constexpr double megabyte_cost_ms = 20;
+
+/// Price of a megabyte that is read from another zone, in the same unit. An
+/// answer is worth about as much as 20 MB between zones cost, and waiting a
+/// second loses most of it.
+constexpr double megabyte_cost_ms = 50;
 
 /// Wait for room that a result which does not fit is expected to need.
 constexpr milliseconds room_wait{300};
@@ -41,24 +45,26 @@
 
 stage_router::server_pointer
 stage_router::choose(const std::vector<server_pointer>& servers,
-                     const stage_pool_figures& figures, std::size_t pieces,
-                     std::uint64_t result_bytes,
+                     const stage_pool_figures& figures,
+                     const stage_demand& demand,
                      boot_clock::time_point now) const
 {
     server_pointer best;
     milliseconds least{0};
     for (const auto& server : servers)
     {
-        auto price = expected_time(*server, figures, pieces, result_bytes, now);
+        auto price = expected_time(*server, figures, demand, now);
         const auto away = place_.to(server->zone);
-        if (away != distance::same_zone)
+        price += away == distance::same_zone     ? milliseconds(0)
+                 : away == distance::same_region ? zone_cost
+                                                 : region_cost;
+        for (const auto& [zone, bytes] : demand.inputs_in_zone)
         {
             constexpr double megabyte = 1e6;
-            const double bytes =
-                static_cast<double>(result_bytes) * static_cast<double>(pieces);
-            price += away == distance::same_region ? zone_cost : region_cost;
+            const double cost =
+                megabyte_cost_ms * static_cast<double>(bytes) / megabyte;
             price += milliseconds(
-                static_cast<std::int64_t>(megabyte_cost_ms * bytes / megabyte));
+                zone == server->zone ? 0 : static_cast<std::int64_t>(cost));
         }
         if (!best || price < least)
         {
@@ -71,8 +77,7 @@
 
 milliseconds stage_router::expected_time(const backend_server& server,
                                          const stage_pool_figures& figures,
-                                         std::size_t pieces,
-                                         std::uint64_t result_bytes,
+                                         const stage_demand& demand,
                                          boot_clock::time_point now) const
 {
     using std::chrono::duration_cast;
@@ -99,11 +104,12 @@
     auto wait = std::max(known.busy - age, milliseconds(0)) +
                 std::max(known.avoid - age, milliseconds(0));
     const bool told = found != rows_.end() && age < outlook_lifetime;
-    if (told && known.free_bytes < result_bytes * (pieces + ahead))
+    if (told &&
+        known.free_bytes < demand.result_bytes * (demand.pieces + ahead))
     {
         wait += room_wait;
     }
-    const std::size_t total = ahead + pieces;
+    const std::size_t total = ahead + demand.pieces;
     const std::size_t full_calls = (total - 1) / batch;
     const std::size_t rest = total - full_calls * batch;
     const auto work =
--- a/src/request/stage_router.hpp
+++ b/src/request/stage_router.hpp
@@ -15,13 +15,22 @@
 namespace mangolink
 {
 
+/// What a server would have to do for an order.
+struct stage_demand final
+{
+    std::size_t pieces = 0;
+    std::uint64_t result_bytes = 0; ///< of one result
+    /// Bytes of inputs that the pieces read together, by the zone they are in.
+    absl::flat_hash_map<std::string, std::uint64_t> inputs_in_zone;
+};
+
 /// Chooses the stage server that makes the pieces of an order, from what the
 /// processes that make the servers' calls have told.
 ///
 /// All pieces of an order go to one server: their results then lie together,
-/// near the model engine that reads them. Work leaves the zone only when the
-/// wait there is longer by more than what crossing it costs. Used by one
-/// thread.
+/// and the next stage and the model engine are chosen near them. Work leaves
+/// a zone only when the wait there is longer by more than what crossing it
+/// costs. Used by one thread.
 class stage_router final
 {
 public:
@@ -38,14 +47,14 @@
 
     /// Returns the server for the pieces, or null when there is none.
     server_pointer choose(const std::vector<server_pointer>& servers,
-                          const stage_pool_figures& figures, std::size_t pieces,
-                          std::uint64_t result_bytes,
+                          const stage_pool_figures& figures,
+                          const stage_demand& demand,
                           boot_clock::time_point now) const;
 
     /// Returns how long pieces would take at a server.
     milliseconds expected_time(const backend_server& server,
                                const stage_pool_figures& figures,
-                               std::size_t pieces, std::uint64_t result_bytes,
+                               const stage_demand& demand,
                                boot_clock::time_point now) const;
 
     void forget(const std::string& server) { rows_.erase(server); }
