--- a/src/connection/forward_protocol.hpp
+++ b/src/connection/forward_protocol.hpp
@@ -21,6 +21,7 @@
     std::optional<milliseconds> time_left; ///< how long the caller waits
     std::string api_key;
     std::uint64_t affinity = 0; ///< hash of the shared prompt parts; 0: none
+    std::uint32_t shared_tokens = 0; ///< length of the shared prompt parts
     std::vector<std::uint32_t> piece_counts; ///< by stage
     std::string piece_key;        ///< what stages without inputs work on
     std::uint64_t last_event = 0; ///< the caller has a stream up to here
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -747,6 +747,7 @@
 {
     server_wish result;
     result.affinity = route_->has_affinity ? facts_.affinity : 0;
+    result.shared_tokens = facts_.shared_tokens;
     result.excluded = tried_;
     if (plan_)
     {
--- a/src/request/direct_balancer.cpp
+++ b/src/request/direct_balancer.cpp
@@ -22,11 +22,18 @@
 constexpr double zone_cost_ms = 8;
 constexpr double region_cost_ms = 60;
 
-/// Price of reading a megabyte from another zone, in the same unit.
-constexpr double megabyte_cost_ms = 25;
+/// Price of reading a megabyte from another zone, in the same unit; the same
+/// as for stage servers.
+constexpr double megabyte_cost_ms = 50;
 
-/// Gain of a server that has the request's prompt prefix cached.
-constexpr double affinity_gain_ms = 60;
+/// Gain of a server that has the request's prompt prefix cached, a token: the
+/// time to read it, about as much again for those who wait behind it, and the
+/// price of reading it again.
+constexpr double token_gain_ms = 0.02;
+
+/// Part of the gain at the server that a zone's requests share, which has the
+/// prefix cached only if it was last asked for in the same zone.
+constexpr double zone_affinity = 0.5;
 
 /// Extra cost of one request in flight at the same server.
 constexpr double in_flight_cost_ms = 4;
@@ -86,23 +93,29 @@
     // Within each zone the server with the highest hash is the one that
     // requests with this prefix share.
     absl::flat_hash_map<std::string, const backend_server*> preferred;
+    const backend_server* first = nullptr;
     const auto rank = [&wish](const backend_server& server)
     { return stable_hash(server.id, wish.affinity); };
     for (const auto& server : candidates)
     {
-        auto& best = preferred[server->zone];
-        if (best == nullptr || rank(*server) > rank(*best))
+        for (auto* best : {&preferred[server->zone], &first})
         {
-            best = server.get();
+            if (*best == nullptr || rank(*server) > rank(**best))
+            {
+                *best = server.get();
+            }
         }
     }
     server_pointer chosen;
     double least = 0;
     for (const auto& server : candidates)
     {
-        const bool is_preferred =
-            wish.affinity != 0 && preferred[server->zone] == server.get();
-        const double price = cost(*server, wish, typical, mean, is_preferred);
+        const double affinity = wish.affinity == 0      ? 0
+                                : first == server.get() ? 1
+                                : preferred[server->zone] == server.get()
+                                    ? zone_affinity
+                                    : 0;
+        const double price = cost(*server, wish, typical, mean, affinity);
         if (!chosen || price < least)
         {
             chosen = server;
@@ -193,7 +206,7 @@
 
 double direct_balancer::cost(const backend_server& server,
                              const server_wish& wish, double typical_ms,
-                             double mean_in_flight, bool preferred) const
+                             double mean_in_flight, double affinity) const
 {
     const auto* row = row_of(server.id);
     const double in_flight = row == nullptr ? 0 : row->in_flight;
@@ -202,10 +215,10 @@
                              : row->first_byte_ms;
     double result = known * (1 + in_flight / std::max(1U, server.slots)) +
                     in_flight * in_flight_cost_ms + distance_ms(server.zone);
-    if (preferred && in_flight <= mean_in_flight * affinity_load_factor +
-                                      affinity_load_reserve)
+    if (in_flight <=
+        mean_in_flight * affinity_load_factor + affinity_load_reserve)
     {
-        result -= affinity_gain_ms;
+        result -= affinity * token_gain_ms * wish.shared_tokens;
     }
     for (const auto& [zone, bytes] : wish.bytes_in_zone)
     {
--- a/src/request/direct_balancer.hpp
+++ b/src/request/direct_balancer.hpp
@@ -17,7 +17,8 @@
 /// What a request wants of the server that is chosen for it.
 struct server_wish final
 {
-    std::uint64_t affinity = 0; ///< hash of what it shares; 0: nothing
+    std::uint64_t affinity = 0;      ///< hash of what it shares; 0: nothing
+    std::uint32_t shared_tokens = 0; ///< length of what it shares
     /// Bytes that the server will read from each zone.
     absl::flat_hash_map<std::string, std::uint64_t> bytes_in_zone;
     std::vector<std::string> excluded; ///< ids already tried
@@ -37,9 +38,9 @@
 ///
 /// Judges servers by what requests got: failures in a row set a server aside
 /// for a time that grows, and one request at a time tries it again. A pool is
-/// never emptied. Requests that share a prompt prefix go to the same server of
-/// a zone as long as it has no more than its share of the work. Used by one
-/// thread.
+/// never emptied. Requests that share a long prompt prefix go to one server
+/// of all, those that share a short one to one of their zone, as long as it
+/// has no more than its share of the work. Used by one thread.
 class direct_balancer final
 {
 public:
@@ -80,7 +81,8 @@
     bool usable(const backend_server& server, const server_wish& wish,
                 boot_clock::time_point now) const;
     double cost(const backend_server& server, const server_wish& wish,
-                double typical_ms, double mean_in_flight, bool preferred) const;
+                double typical_ms, double mean_in_flight,
+                double affinity) const;
     double distance_ms(const std::string& zone) const;
 
     placement place_;
