Begin a stage beside a longer chain with the chain's last stage

Cause: pour-commentary has a stage with 3 MB results beside a chain of three; made at arrival, the results took up room at their server for the second that the chain takes.

Also: a piece whose result does not fit no longer holds back those that fit.

--- a/src/request/stage_plan.cpp
+++ b/src/request/stage_plan.cpp
@@ -18,9 +18,10 @@
 std::vector<stage_piece> stage_plan::take_ready()
 {
     std::vector<stage_piece> ready;
+    const auto longest = longest_chain();
     for (std::uint32_t stage = 0; stage < stages_.size(); ++stage)
     {
-        if (!inputs_made(stage))
+        if (!inputs_made(stage) || 1 + stages_after(stage) < longest)
         {
             continue;
         }
@@ -181,6 +182,19 @@
                        [this](std::uint32_t input) { return has_all(input); });
 }
 
+std::uint32_t stage_plan::longest_chain() const
+{
+    std::uint32_t longest = 0;
+    for (std::uint32_t stage = 0; stage < stages_.size(); ++stage)
+    {
+        if (!has_all(stage))
+        {
+            longest = std::max(longest, 1 + stages_after(stage));
+        }
+    }
+    return longest;
+}
+
 bool stage_plan::is_final(std::uint32_t stage) const
 {
     return std::none_of(stages_.begin(), stages_.end(),
--- a/src/request/stage_plan.hpp
+++ b/src/request/stage_plan.hpp
@@ -34,7 +34,9 @@
     stage_plan(std::vector<stage_definition> stages,
                const std::vector<std::uint32_t>& piece_counts);
 
-    /// Returns the pieces that may be made now and were not returned before.
+    /// Returns the pieces that should be made now and were not returned before.
+    /// A stage beside a longer chain begins with the last stages of the chain,
+    /// so that its results do not take up room meanwhile.
     std::vector<stage_piece> take_ready();
 
     /// Takes the result of a piece. Returns false when the piece already has
@@ -86,6 +88,7 @@
 
     bool has_all(std::uint32_t stage) const;
     bool inputs_made(std::uint32_t stage) const;
+    std::uint32_t longest_chain() const;
     bool is_final(std::uint32_t stage) const;
     void collect(std::uint32_t stage, std::vector<std::string>& handles) const;
 
--- a/src/request/stage_queue.cpp
+++ b/src/request/stage_queue.cpp
@@ -66,16 +66,22 @@
                                                  : a.order->due < b.order->due;
                      });
     auto free = room_.free(now);
-    auto next = queue_.begin();
-    while (next != queue_.end() && batch.size() < figures_.batch_size &&
-           next->order->result_bytes <= free)
+    std::vector<waiting_piece> left;
+    for (auto& row : queue_)
     {
-        free -= next->order->result_bytes;
-        room_.reserve(next->order->result_bytes);
-        batch.push_back(*next);
-        ++next;
+        const auto bytes = row.order->result_bytes;
+        if (batch.size() < figures_.batch_size && bytes <= free)
+        {
+            free -= bytes;
+            room_.reserve(bytes);
+            batch.push_back(std::move(row));
+        }
+        else
+        {
+            left.push_back(std::move(row));
+        }
     }
-    queue_.erase(queue_.begin(), next);
+    queue_ = std::move(left);
     if (!batch.empty())
     {
         ++calls_;
