Let orders wait for a living process; count room when the server says so

Change: an order is taken over when its process is silent, restarted or the connection fails; room becomes free with the answer to the release.

--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -24,13 +24,14 @@
 constexpr milliseconds connect_limit{300};
 
 /// How long results are collected before they are given up together.
-constexpr milliseconds release_delay{20};
+constexpr milliseconds release_delay{10};
 constexpr milliseconds release_limit{1000};
 
-/// Another process that takes longer than this many times what was expected,
-/// and the reserve, does not answer.
-constexpr int order_limit_factor = 2;
-constexpr milliseconds order_reserve{600};
+/// A living process that takes longer than this many times what was expected,
+/// and the reserve, does not answer on this connection. One that is silent is
+/// given up at once.
+constexpr int order_limit_factor = 3;
+constexpr milliseconds order_reserve{1500};
 
 std::shared_ptr<const backend_server> as_server(const peer& one)
 {
@@ -150,10 +151,8 @@
     }
     for (const auto& handle : handles)
     {
-        row->queue.room().release(handle);
         row->to_free.push_back(handle);
     }
-    pump_soon(*row);
     if (!row->free_pending)
     {
         row->free_pending = true;
@@ -194,6 +193,17 @@
 
 void stage_dispatcher::pump_all()
 {
+    for (const auto& order : open_orders_)
+    {
+        const peer* maker = peers_.find(order->maker.name);
+        const auto exchange = order->exchange.lock();
+        const bool alive =
+            maker != nullptr && maker->started == order->maker.started;
+        if (!alive && exchange)
+        {
+            exchange->abort();
+        }
+    }
     for (auto& [id, row] : rows_)
     {
         row->server = state_.directory().find(id);
@@ -445,7 +455,11 @@
     text_request request =
         peer_request(maker, order_path, encode_order(*order, server->id, now));
     auto to = as_server(maker);
-    const auto answer = co_await call(std::move(to), std::move(request), limit);
+    const auto open = std::make_shared<open_order>(open_order{maker, {}});
+    open_orders_.push_back(open);
+    const auto answer = co_await call(std::move(to), std::move(request), limit,
+                                      &open->exchange);
+    std::erase(open_orders_, open);
     const auto client = order->client.lock();
     const auto reports = answer && answer->result() == http::status::ok
                              ? decode_reply(answer->body())
@@ -536,13 +550,23 @@
         co_return;
     }
     text_request request = protocol_.release_call(*server, handles);
-    // Results that could not be given up expire by themselves.
-    co_await call(server, std::move(request), release_limit);
+    const auto answer =
+        co_await call(server, std::move(request), release_limit);
+    if (!answer)
+    {
+        co_return; // results that were not given up expire by themselves
+    }
+    for (const auto& handle : handles)
+    {
+        row.queue.room().release(handle);
+    }
+    pump_soon(row);
 }
 
 asio::awaitable<std::optional<text_response>>
 stage_dispatcher::call(server_pointer to, text_request request,
-                       milliseconds limit)
+                       milliseconds limit,
+                       std::weak_ptr<backend_exchange>* running)
 {
     const auto lease = co_await connections_.acquire(to, connect_limit);
     if (!lease.connection)
@@ -551,6 +575,10 @@
     }
     auto current = std::make_shared<backend_exchange>(
         lease.connection, protocol_, std::move(request), std::string());
+    if (running != nullptr)
+    {
+        *running = current;
+    }
     const time_limit guard(io_, limit, [current] { current->abort(); });
     bool open = co_await current->begin();
     text_response answer;
--- a/src/connection/stage_dispatcher.hpp
+++ b/src/connection/stage_dispatcher.hpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 #include "connection/asio_types.hpp"
 #include "connection/forward_protocol.hpp"
+#include "process/peer_directory.hpp"
 #include "request/stage_order.hpp"
 #include "request/stage_queue.hpp"
 #include "request/stage_router.hpp"
@@ -17,13 +18,11 @@
 namespace mangolink
 {
 
+class backend_exchange;
 class backend_pool;
-class event_counter;
 class gateway_state;
 class metrics_registry;
-class peer_directory;
 struct gateway_settings;
-struct peer;
 
 /// Outlook of a server that this process makes the calls of.
 struct named_outlook final
@@ -94,6 +93,13 @@
         std::vector<stage_item_answer> items;
     };
 
+    /// Order that another process has and has not answered.
+    struct open_order final
+    {
+        peer maker;
+        std::weak_ptr<backend_exchange> exchange;
+    };
+
     using server_pointer = std::shared_ptr<const backend_server>;
 
     const stage_pool_figures* figures_of(const std::string& service) const;
@@ -118,8 +124,10 @@
                                      std::vector<std::string> handles);
     asio::awaitable<void> free_results(server_row& row);
     /// Makes a call and returns the whole body, or nothing.
+    /// `running`, if not null, gets the exchange while it runs.
     asio::awaitable<std::optional<text_response>>
-    call(server_pointer to, text_request request, milliseconds limit);
+    call(server_pointer to, text_request request, milliseconds limit,
+         std::weak_ptr<backend_exchange>* running = nullptr);
 
     asio::io_context& io_;
     const gateway_settings& settings_;
@@ -130,6 +138,7 @@
     metrics_registry& metrics_;
     stage_router router_;
     absl::flat_hash_map<std::string, std::unique_ptr<server_row>> rows_;
+    std::vector<std::shared_ptr<open_order>> open_orders_;
     std::vector<std::string> to_release_;
     bool release_pending_ = false;
 };
