Have stages made in the zone of the engine that shares the prompt's prefix

Change: the engine that affinity prefers is found first; its zone counts as a preference, worth the shared tokens, where stages are made.

--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -106,6 +106,7 @@
     if (!route_->stages.empty())
     {
         plan_.emplace(route_->stages, facts_.piece_counts);
+        prefer_zone();
         ready = co_await make_stages();
     }
     if (ready)
@@ -318,6 +319,8 @@
             std::max(order->input_bytes, plan_->stage(input).result_bytes);
     }
     order->deadline = deadline_;
+    order->preferred_zone = preferred_zone_;
+    order->preference = direct_balancer::affinity_gain(wish());
     // The time by which the stages that follow must begin.
     const auto after = static_cast<int>(plan_->stages_after(stage));
     order->due = std::min(deadline_, arrival_ + route_->latency_objective) -
@@ -743,6 +746,14 @@
     return result;
 }
 
+void forward_run::prefer_zone()
+{
+    auto& state = context_.state;
+    const auto engine = state.balancer().choose(
+        state.directory().servers(service_), wish(), boot_clock::now());
+    preferred_zone_ = engine ? engine->zone : "";
+}
+
 server_wish forward_run::wish() const
 {
     server_wish result;
--- a/src/connection/forward_run.hpp
+++ b/src/connection/forward_run.hpp
@@ -81,6 +81,7 @@
     void judge(const attempt& current);
     void finish_connection(attempt& current);
     text_request backend_request(const backend_server& server) const;
+    void prefer_zone();
     server_wish wish() const;
     milliseconds time_left() const;
     milliseconds first_byte_limit() const;
@@ -105,6 +106,7 @@
     const gateway_customer* customer_ = nullptr;
     std::string service_;
     std::optional<stage_plan> plan_;
+    std::string preferred_zone_; ///< of the model engine
     asio::steady_timer wake_;
     std::optional<refusal> stage_refusal_;
     std::uint32_t stage_repeats_ = 0;
--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -225,6 +225,8 @@
     stage_demand demand;
     demand.pieces = order.pieces.size();
     demand.result_bytes = order.result_bytes;
+    demand.preferred_zone = order.preferred_zone;
+    demand.preference = order.preference;
     for (const auto& input : order.inputs)
     {
         const auto keeper =
--- a/src/request/direct_balancer.cpp
+++ b/src/request/direct_balancer.cpp
@@ -131,6 +131,12 @@
     return chosen;
 }
 
+milliseconds direct_balancer::affinity_gain(const server_wish& wish)
+{
+    return milliseconds(
+        static_cast<std::int64_t>(token_gain_ms * wish.shared_tokens));
+}
+
 void direct_balancer::began(const std::string& server)
 {
     ++rows_[server].in_flight;
--- a/src/request/direct_balancer.hpp
+++ b/src/request/direct_balancer.hpp
@@ -52,6 +52,10 @@
     server_pointer choose(const std::vector<server_pointer>& servers,
                           const server_wish& wish, boot_clock::time_point now);
 
+    /// Returns what it is worth to send the request to the server that
+    /// choose() prefers, as time a caller would wait instead.
+    static milliseconds affinity_gain(const server_wish& wish);
+
     /// Counts a send that began.
     void began(const std::string& server);
 
--- a/src/request/stage_order.hpp
+++ b/src/request/stage_order.hpp
@@ -40,6 +40,8 @@
     boot_clock::time_point deadline; ///< made later, they are of no use
     std::uint64_t result_bytes = 0;  ///< approximate size of one result
     std::uint64_t input_bytes = 0;   ///< approximate size of one input
+    std::string preferred_zone;      ///< of the model engine; empty: none
+    milliseconds preference{0};      ///< how long may be waited for it
 
     /// Returns whether somebody still waits for the pieces.
     bool wanted() const
--- a/src/request/stage_router.cpp
+++ b/src/request/stage_router.cpp
@@ -58,6 +58,9 @@
         price += away == distance::same_zone     ? milliseconds(0)
                  : away == distance::same_region ? zone_cost
                                                  : region_cost;
+        const bool preferred = demand.preferred_zone.empty() ||
+                               demand.preferred_zone == server->zone;
+        price += preferred ? milliseconds(0) : demand.preference;
         for (const auto& [zone, bytes] : demand.inputs_in_zone)
         {
             constexpr double megabyte = 1e6;
--- a/src/request/stage_router.hpp
+++ b/src/request/stage_router.hpp
@@ -22,6 +22,8 @@
     std::uint64_t result_bytes = 0; ///< of one result
     /// Bytes of inputs that the pieces read together, by the zone they are in.
     absl::flat_hash_map<std::string, std::uint64_t> inputs_in_zone;
+    std::string preferred_zone; ///< empty: none
+    milliseconds preference{0}; ///< what another zone costs
 };
 
 /// Chooses the stage server that makes the pieces of an order, from what the
