--- /dev/null
+++ b/src/base/bounded_output.cpp
@@ -0,0 +1,83 @@
+#include "base/bounded_output.hpp"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <climits>
+#include <ostream>
+#include <string_view>
+#include <utility>
+
+namespace mangolink
+{
+
+bounded_output::bounded_output(std::ostream& stream, int descriptor,
+                               std::size_t capacity)
+    : stream_(stream), previous_(stream.rdbuf(this)), descriptor_(descriptor),
+      capacity_(capacity)
+{
+}
+
+bounded_output::~bounded_output()
+{
+    flush();
+    stream_.rdbuf(previous_);
+}
+
+void bounded_output::flush()
+{
+    while (!waiting_.empty())
+    {
+        pollfd ready{descriptor_, POLLOUT, 0};
+        if (::poll(&ready, 1, 0) <= 0 || (ready.revents & POLLOUT) == 0)
+        {
+            return;
+        }
+        // A pipe that can be written takes this many bytes without blocking.
+        const auto part = std::min<std::size_t>(waiting_.size(), PIPE_BUF);
+        const auto written = ::write(descriptor_, waiting_.data(), part);
+        if (written <= 0)
+        {
+            return;
+        }
+        waiting_.erase(0, static_cast<std::size_t>(written));
+    }
+}
+
+std::uint64_t bounded_output::take_dropped()
+{
+    return std::exchange(dropped_, 0);
+}
+
+std::streamsize bounded_output::xsputn(const char* bytes, std::streamsize count)
+{
+    std::string_view rest(bytes, static_cast<std::size_t>(count));
+    while (!rest.empty())
+    {
+        const auto end = rest.find('\n');
+        const auto line =
+            end == std::string_view::npos ? rest : rest.substr(0, end + 1);
+        rest.remove_prefix(line.size());
+        if (!dropping_ && waiting_.size() + line.size() > capacity_)
+        {
+            dropping_ = true;
+            ++dropped_;
+        }
+        if (!dropping_)
+        {
+            waiting_ += line;
+        }
+        dropping_ = dropping_ && end == std::string_view::npos;
+    }
+    return count;
+}
+
+bounded_output::int_type bounded_output::overflow(int_type byte)
+{
+    const char value = traits_type::to_char_type(byte);
+    xsputn(&value, 1);
+    return byte;
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/base/bounded_output.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <streambuf>
+#include <string>
+
+namespace mangolink
+{
+
+/// Takes the place of a stream's buffer and never blocks its writer.
+///
+/// Bytes wait in memory until flush() hands them to the descriptor without
+/// blocking. A write that does not fit is dropped whole and counted. Used by
+/// one thread.
+class bounded_output final : public std::streambuf
+{
+public:
+    /// Replaces the buffer of the stream until destroyed.
+    bounded_output(std::ostream& stream, int descriptor, std::size_t capacity);
+    ~bounded_output() override;
+
+    bounded_output(const bounded_output&) = delete;
+    bounded_output& operator=(const bounded_output&) = delete;
+
+    /// Writes what the descriptor takes now.
+    void flush();
+
+    /// Returns how many lines were dropped since the last call.
+    std::uint64_t take_dropped();
+
+protected:
+    std::streamsize xsputn(const char* bytes, std::streamsize count) override;
+    int_type overflow(int_type byte) override;
+
+private:
+    std::ostream& stream_;
+    std::streambuf* previous_;
+    int descriptor_;
+    std::size_t capacity_;
+    std::string waiting_;
+    std::uint64_t dropped_ = 0;
+    bool dropping_ = false; ///< until the end of a line that did not fit
+};
+
+} // namespace mangolink
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -147,6 +147,11 @@
         return refusal{http::status::bad_request, error.what(), {}};
     }
     last_event_ = facts_.last_event;
+    if (context_.refusing)
+    {
+        return refusal{http::status::service_unavailable, "stopping",
+                       return_soon};
+    }
     configuration_ = context_.state.configuration();
     if (!configuration_)
     {
@@ -212,9 +217,11 @@
             i < facts_.piece_counts.size() && facts_.piece_counts[i] > 0;
         if (used)
         {
-            expected += context_.stages.expected_time(
-                stages[i].service,
-                {facts_.piece_counts[i], stages[i].result_bytes, {}});
+            stage_demand demand;
+            demand.pieces = facts_.piece_counts[i];
+            demand.result_bytes = stages[i].result_bytes;
+            expected +=
+                context_.stages.expected_time(stages[i].service, demand);
         }
     }
     if (!stages.empty() && expected + engine_time > time_left())
--- a/src/connection/gateway_context.hpp
+++ b/src/connection/gateway_context.hpp
@@ -27,6 +27,7 @@
     backend_pool& connections;
     stage_dispatcher& stages;
     bool stopping = false;
+    bool refusing = false; ///< stopping, and too late for new requests
     std::size_t open_callers = 0;
     std::size_t open_requests = 0;
 
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -11,8 +11,10 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 #include <csignal>
+#include <iostream>
 #include <stdexcept>
 
 namespace mangolink
@@ -22,6 +24,12 @@
 
 constexpr milliseconds tick{250};
 
+/// Log lines wait this long before they are written together.
+constexpr milliseconds log_interval{100};
+
+/// Room for a few seconds of log lines while nobody reads them.
+constexpr std::size_t log_capacity = 1024 * 1024;
+
 /// Idle time after which a connection of the balancer or an operator ends.
 constexpr milliseconds side_idle{30'000};
 
@@ -75,7 +83,9 @@
           [this](const std::string& id) { connections_.forget(id); }),
       context_{io_,    settings_,    protocol_, metrics_,
                state_, connections_, stages_},
-      signals_(io_, SIGTERM, SIGINT, SIGHUP)
+      signals_(io_, SIGTERM, SIGINT, SIGHUP),
+      log_output_(std::cout, STDOUT_FILENO, log_capacity),
+      log_dropped_(metrics_.counter("mangolink_log_lines_dropped_total"))
 {
     accept_callers();
     open_side(settings_.readiness, [this](const text_request& request)
@@ -94,6 +104,7 @@
                    [this] { return static_cast<double>(connections_.idle()); });
     asio::co_spawn(io_, follow_signals(), asio::detached);
     asio::co_spawn(io_, keep_time(), asio::detached);
+    asio::co_spawn(io_, write_log(), asio::detached);
 }
 
 gateway_server::~gateway_server() = default;
@@ -125,8 +136,14 @@
 
 void gateway_server::accept_callers()
 {
-    asio::co_spawn(io_, accept_loop(open_listener(io_, settings_.callers)),
-                   asio::detached);
+    callers_ = open_listener(io_, settings_.callers);
+    asio::co_spawn(io_, accept_loop(callers_), asio::detached);
+}
+
+void gateway_server::close_listener()
+{
+    error_code ignored; // connections are refused either way
+    callers_->close(ignored);
 }
 
 asio::awaitable<void>
@@ -139,6 +156,10 @@
         error_code error;
         tcp::socket socket(io_);
         co_await acceptor->async_accept(socket, into(error));
+        if (!acceptor->is_open())
+        {
+            co_return;
+        }
         if (error)
         {
             log_warning("gateway", "Accept failed.",
@@ -305,6 +326,12 @@
     {
         co_await pause(io_, tick / 5);
         now = boot_clock::now();
+        if (now >= soonest && !context_.refusing)
+        {
+            // What begins now could not end in time.
+            context_.refusing = true;
+            close_listener();
+        }
     }
     all_ended_ = context_.open_requests == 0;
     io_.stop();
@@ -334,6 +361,22 @@
     }
 }
 
+asio::awaitable<void> gateway_server::write_log()
+{
+    while (true)
+    {
+        co_await pause(io_, log_interval);
+        log_output_.flush();
+        const auto dropped = log_output_.take_dropped();
+        if (dropped > 0)
+        {
+            log_dropped_.add(dropped);
+            log_warning("gateway", "Log lines were dropped.",
+                        {{"count", std::to_string(dropped)}});
+        }
+    }
+}
+
 void gateway_server::reload()
 {
     try
--- a/src/connection/gateway_server.hpp
+++ b/src/connection/gateway_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/bounded_output.hpp"
 #include "base/metrics.hpp"
 #include "connection/asio_types.hpp"
 #include "connection/backend_pool.hpp"
@@ -50,6 +51,7 @@
     using handler = std::function<text_response(const text_request&)>;
 
     void accept_callers();
+    void close_listener();
     asio::awaitable<void> accept_loop(std::shared_ptr<tcp::acceptor> acceptor);
     asio::awaitable<void> serve_side(std::shared_ptr<tcp::acceptor> acceptor,
                                      handler handle);
@@ -60,6 +62,7 @@
     std::string status_text() const;
     asio::awaitable<void> follow_signals();
     asio::awaitable<void> keep_time();
+    asio::awaitable<void> write_log();
     asio::awaitable<void> stop();
     void open_to_peers();
     void reload();
@@ -75,9 +78,12 @@
     stage_dispatcher stages_;
     gateway_feed feed_;
     gateway_context context_;
+    std::shared_ptr<tcp::acceptor> callers_;
     std::unique_ptr<order_server> orders_;
     std::unique_ptr<peer_beats> beats_;
     asio::signal_set signals_;
+    bounded_output log_output_;
+    event_counter& log_dropped_;
     bool was_ready_ = false;
     bool all_ended_ = true;
 };
--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -255,7 +255,7 @@
         return nullptr;
     }
     auto row = std::make_unique<server_row>(
-        server_row{facts, stage_queue(*figures), {}});
+        server_row{facts, stage_queue(*figures), {}, false, false, {}});
     return rows_.emplace(server, std::move(row)).first->second.get();
 }
 
@@ -279,11 +279,16 @@
 {
     const auto now = boot_clock::now();
     const auto outlook = row.queue.outlook(now);
-    if (!row.server || outlook.avoid > milliseconds(0))
+    if (!row.server ||
+        (outlook.avoid > milliseconds(0) && another_usable(*row.server)))
     {
         send_back(row.queue.take_all(), stage_item_end::unsent);
         return;
     }
+    if (outlook.avoid > milliseconds(0))
+    {
+        pump_after(row, outlook.avoid);
+    }
     const auto* figures = figures_of(row.server->service);
     if (figures != nullptr)
     {
@@ -297,6 +302,34 @@
     }
 }
 
+bool stage_dispatcher::another_usable(const backend_server& server) const
+{
+    const auto now = boot_clock::now();
+    const auto& all = state_.directory().servers(server.service);
+    return std::any_of(all.begin(), all.end(),
+                       [&](const auto& other) {
+                           return other->id != server.id &&
+                                  !router_.avoided(other->id, now);
+                       });
+}
+
+void stage_dispatcher::pump_after(server_row& row, milliseconds time)
+{
+    if (!row.wake)
+    {
+        row.wake.emplace(io_);
+    }
+    row.wake->expires_after(time + milliseconds(1));
+    row.wake->async_wait(
+        [this, &row](const error_code& cancelled)
+        {
+            if (!cancelled)
+            {
+                pump_soon(row);
+            }
+        });
+}
+
 void stage_dispatcher::send_back(std::vector<waiting_piece> pieces,
                                  stage_item_end end)
 {
@@ -324,8 +357,11 @@
     {
         reserved += piece.order->result_bytes;
     }
-    const bool good = result.answered && !result.shed;
-    row.queue.call_ended(pieces.size(), reserved, took, good, now);
+    const auto end = !result.answered ? call_end::lost
+                     : result.shed    ? call_end::shed
+                                      : call_end::answered;
+    row.queue.call_ended(pieces.size(), reserved, took, end, now);
+    router_.take_outlook(server->id, row.queue.outlook(now), now);
     log_call(row, pieces.size(), took, result);
     end_pieces(row, pieces, result);
     pump_soon(row);
--- a/src/connection/stage_dispatcher.hpp
+++ b/src/connection/stage_dispatcher.hpp
@@ -85,6 +85,7 @@
         std::vector<std::string> to_free;
         bool pump_pending = false;
         bool free_pending = false;
+        std::optional<asio::steady_timer> wake; ///< at the end of avoidance
     };
     struct call_result final
     {
@@ -107,6 +108,8 @@
     server_row* row_of(const std::string& server);
     void pump_soon(server_row& row);
     void pump(server_row& row);
+    bool another_usable(const backend_server& server) const;
+    void pump_after(server_row& row, milliseconds time);
     void send_back(std::vector<waiting_piece> pieces, stage_item_end end);
     asio::awaitable<void> make_call(server_row& row,
                                     std::vector<waiting_piece> pieces);
--- a/src/request/direct_balancer.cpp
+++ b/src/request/direct_balancer.cpp
@@ -38,6 +38,9 @@
 /// Extra cost of one request in flight at the same server.
 constexpr double in_flight_cost_ms = 4;
 
+/// Servers whose costs differ by less are equally good.
+constexpr double equal_ms = 3;
+
 /// Share of work over the mean at which affinity no longer counts.
 constexpr double affinity_load_factor = 2;
 constexpr double affinity_load_reserve = 4;
@@ -106,8 +109,7 @@
             }
         }
     }
-    server_pointer chosen;
-    double least = 0;
+    std::vector<double> prices;
     for (const auto& server : candidates)
     {
         const double affinity = wish.affinity == 0      ? 0
@@ -115,14 +117,21 @@
                                 : preferred[server->zone] == server.get()
                                     ? zone_affinity
                                     : 0;
-        const double price = cost(*server, wish, typical, mean, affinity);
-        if (!chosen || price < least)
+        prices.push_back(cost(*server, wish, typical, mean, affinity));
+    }
+    const double least = *std::min_element(prices.begin(), prices.end());
+    server_pointer chosen;
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+    {
+        if (prices[i] <= least + equal_ms &&
+            (!chosen ||
+             rows_[candidates[i]->id].last_turn < rows_[chosen->id].last_turn))
         {
-            chosen = server;
-            least = price;
+            chosen = candidates[i];
         }
     }
     server_row& row = rows_[chosen->id];
+    row.last_turn = ++turns_;
     if (row.failures >= failure_limit)
     {
         // One request tries the server; others wait for how it ends.
--- a/src/request/direct_balancer.hpp
+++ b/src/request/direct_balancer.hpp
@@ -38,9 +38,10 @@
 ///
 /// Judges servers by what requests got: failures in a row set a server aside
 /// for a time that grows, and one request at a time tries it again. A pool is
-/// never emptied. Requests that share a long prompt prefix go to one server
-/// of all, those that share a short one to one of their zone, as long as it
-/// has no more than its share of the work. Used by one thread.
+/// never emptied. Servers that are about as good take turns. Requests that
+/// share a long prompt prefix go to one server of all, those that share a short
+/// one to one of their zone, as long as it has no more than its share of the
+/// work. Used by one thread.
 class direct_balancer final
 {
 public:
@@ -78,7 +79,8 @@
         std::uint32_t in_flight = 0;
         std::uint32_t failures = 0; ///< in a row
         boot_clock::time_point aside_until;
-        double first_byte_ms = 0; ///< smoothed; 0: unknown
+        double first_byte_ms = 0;    ///< smoothed; 0: unknown
+        std::uint64_t last_turn = 0; ///< grows with each choice of any server
     };
 
     const server_row* row_of(const std::string& server) const;
@@ -91,6 +93,7 @@
 
     placement place_;
     absl::flat_hash_map<std::string, server_row> rows_;
+    std::uint64_t turns_ = 0;
 };
 
 } // namespace mangolink
--- a/src/request/stage_queue.cpp
+++ b/src/request/stage_queue.cpp
@@ -10,6 +10,10 @@
 /// How long a server that failed a call gets none.
 constexpr milliseconds avoid_time{2000};
 
+/// How long a server that had no room gets no call: about a call's time, after
+/// which one of its places is free.
+constexpr milliseconds shed_avoid_time{150};
+
 /// Weight of the newest call in the slowdown.
 constexpr double slowdown_weight = 0.4;
 constexpr double least_slowdown = 0.7;
@@ -109,15 +113,16 @@
 }
 
 void stage_queue::call_ended(std::size_t pieces, std::uint64_t reserved_bytes,
-                             milliseconds took, bool answered,
+                             milliseconds took, call_end end,
                              boot_clock::time_point now)
 {
     calls_ -= calls_ > 0 ? 1 : 0;
     busy_until_ = now;
     room_.unreserve(reserved_bytes);
-    if (!answered)
+    if (end != call_end::answered)
     {
-        avoid_until_ = now + avoid_time;
+        avoid_until_ =
+            now + (end == call_end::shed ? shed_avoid_time : avoid_time);
         return;
     }
     const double wanted =
--- a/src/request/stage_queue.hpp
+++ b/src/request/stage_queue.hpp
@@ -21,6 +21,14 @@
     std::uint32_t piece = 0;
 };
 
+/// How a call of a stage server ended.
+enum class call_end : std::uint8_t
+{
+    answered,
+    shed, ///< it had no room for the call
+    lost  ///< no answer, or one that can't be read
+};
+
 /// What others may expect of a stage server.
 struct server_outlook final
 {
@@ -60,7 +68,7 @@
 
     /// Takes the end of a call.
     void call_ended(std::size_t pieces, std::uint64_t reserved_bytes,
-                    milliseconds took, bool answered,
+                    milliseconds took, call_end end,
                     boot_clock::time_point now);
 
     /// Returns how long a call with this many pieces may take before the
--- a/src/request/stage_router.cpp
+++ b/src/request/stage_router.cpp
@@ -78,6 +78,14 @@
     return best;
 }
 
+bool stage_router::avoided(const std::string& server,
+                           boot_clock::time_point now) const
+{
+    const auto found = rows_.find(server);
+    return found != rows_.end() &&
+           found->second.at + found->second.outlook.avoid > now;
+}
+
 milliseconds stage_router::expected_time(const backend_server& server,
                                          const stage_pool_figures& figures,
                                          const stage_demand& demand,
--- a/src/request/stage_router.hpp
+++ b/src/request/stage_router.hpp
@@ -59,6 +59,9 @@
                                const stage_demand& demand,
                                boot_clock::time_point now) const;
 
+    /// Returns whether the server is known to have failed lately.
+    bool avoided(const std::string& server, boot_clock::time_point now) const;
+
     void forget(const std::string& server) { rows_.erase(server); }
 
 private:
--- /dev/null
+++ b/tests/platform/forwarding_test.cpp
@@ -0,0 +1,253 @@
+#include "support/platform_site.hpp"
+#include "support/story.hpp"
+
+namespace mangolink::test
+{
+
+class forwarding_test final : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(forwarding_test);
+    CPPUNIT_TEST(requests_pass_unchanged);
+    CPPUNIT_TEST(what_is_not_allowed_is_refused);
+    CPPUNIT_TEST(badly_framed_requests_reach_no_server);
+    CPPUNIT_TEST(slow_and_large_callers_are_bounded);
+    CPPUNIT_TEST(several_requests_in_one_packet);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void requests_pass_unchanged()
+    {
+        platform_site site;
+        auto& server = site.add_backend("desk", "desk-1");
+        site.add_route("/orders/", "non_idempotent", "desk");
+        site.publish();
+        auto& gateway = site.start_gateway();
+        test_caller caller(gateway.callers());
+        auto request = site.request("/orders/new?color=blue", "r1");
+        request.set("X-Tenant", "somebody else");
+        request.set("X-Kv-Retention", "mine");
+        request.set("X-Note", "kept");
+        request.set(http::field::connection, "X-Hop");
+        request.set("X-Hop", "only for this connection");
+        const auto answer = caller.ask(request);
+        const auto seen = server.seen();
+        section("the answer is the server's",
+                [&]
+                {
+                    CPPUNIT_ASSERT(answer);
+                    CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+                    CPPUNIT_ASSERT_EQUAL(answer_body("desk-1", "r1"),
+                                         answer->body());
+                    CPPUNIT_ASSERT((*answer)["X-Response-Seal"] ==
+                                   "seal-desk-1");
+                });
+        section("path, query and body are the caller's",
+                [&]
+                {
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(1), seen.size());
+                    CPPUNIT_ASSERT_EQUAL(std::string("/orders/new?color=blue"),
+                                         seen[0].target);
+                    CPPUNIT_ASSERT_EQUAL(std::string("body of r1"),
+                                         seen[0].body);
+                });
+        section("headers of the system are its own, others are kept",
+                [&]
+                {
+                    auto headers = seen[0].headers;
+                    CPPUNIT_ASSERT_EQUAL(std::string("casters"),
+                                         headers["x-tenant"]);
+                    CPPUNIT_ASSERT_EQUAL(std::string("kept"),
+                                         headers["x-note"]);
+                    CPPUNIT_ASSERT(std::stoi(headers["x-deadline-ms"]) <= 4000);
+                    CPPUNIT_ASSERT(!headers.contains("x-key"));
+                    CPPUNIT_ASSERT(!headers.contains("x-kv-retention"));
+                    CPPUNIT_ASSERT(!headers.contains("x-hop"));
+                });
+    }
+
+    void what_is_not_allowed_is_refused()
+    {
+        platform_site site;
+        auto& server = site.add_backend("desk", "desk-1");
+        site.add_route("/orders/", "idempotent", "desk");
+        site.publish();
+        auto& gateway = site.start_gateway();
+        test_caller caller(gateway.callers());
+        section("an unknown path",
+                [&] { expect(caller, site.request("/none/x", "r1"), 404); });
+        section("an unknown host",
+                [&]
+                {
+                    auto request = site.request("/orders/x", "r2");
+                    request.set(http::field::host, "other.example");
+                    expect(caller, request, 404);
+                });
+        section("a key that nobody holds",
+                [&]
+                {
+                    auto request = site.request("/orders/x", "r3");
+                    request.set("X-Key", "stolen");
+                    expect(caller, request, 401);
+                });
+        section("a deadline that is no number",
+                [&]
+                {
+                    auto request = site.request("/orders/x", "r4");
+                    request.set("X-Deadline-Ms", "soon");
+                    expect(caller, request, 400);
+                });
+        section("a deadline that is over",
+                [&] {
+                    expect(caller,
+                           site.request("/orders/x", "r5", milliseconds(0)),
+                           503);
+                });
+        section("none of them reached a server",
+                [&] { CPPUNIT_ASSERT(server.seen().empty()); });
+        section("the connection serves what is allowed",
+                [&] { expect(caller, site.request("/orders/x", "r6"), 200); });
+        section("a missing deadline is the route's",
+                [&]
+                {
+                    auto request = site.request("/orders/x", "r7");
+                    request.erase("X-Deadline-Ms");
+                    expect(caller, request, 200);
+                });
+    }
+
+    void badly_framed_requests_reach_no_server()
+    {
+        platform_site site;
+        auto& server = site.add_backend("desk", "desk-1");
+        site.add_route("/orders/", "idempotent", "desk");
+        site.publish();
+        auto& gateway = site.start_gateway();
+        const std::string head =
+            "POST /orders/x HTTP/1.1\r\nHost: "
+            "site.example\r\nX-Attempt-Id: bad\r\nX-Key: " +
+            std::string(test_key) + "\r\n";
+        const std::string inner = "GET /orders/smuggled HTTP/1.1\r\nHost: "
+                                  "site.example\r\n\r\n";
+        const std::vector<std::string> bad{
+            head +
+                "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "0\r\n\r\n" +
+                inner,
+            head + "Content-Length: 5\r\nContent-Length: 9\r\n\r\nhello",
+            head + "Content-Length: -1\r\n\r\n",
+            head + "Transfer-Encoding: chunked\r\n\r\nxyz\r\n",
+            head + "X Space: 1\r\n\r\n",
+            head + "Content-Length : 5\r\n\r\nhello",
+            "GET /orders/\x01 HTTP/1.1\r\nHost: site.example\r\n\r\n",
+            "NONSENSE\r\n\r\n"};
+        for (std::size_t i = 0; i < bad.size(); ++i)
+        {
+            section("request " + std::to_string(i),
+                    [&]
+                    {
+                        test_caller caller(gateway.callers());
+                        caller.send(bad[i]);
+                        const auto answer = caller.read_answer();
+                        CPPUNIT_ASSERT(answer);
+                        CPPUNIT_ASSERT_EQUAL(400U, answer->result_int());
+                        CPPUNIT_ASSERT(caller.ends_within(milliseconds(5000)));
+                    });
+        }
+        section("no server saw any of them",
+                [&] { CPPUNIT_ASSERT(server.seen().empty()); });
+    }
+
+    void slow_and_large_callers_are_bounded()
+    {
+        platform_site site;
+        site.add_backend("desk", "desk-1");
+        site.add_route("/orders/", "idempotent", "desk");
+        site.publish();
+        auto& gateway = site.start_gateway();
+        section("headers over the limit",
+                [&]
+                {
+                    test_caller caller(gateway.callers());
+                    auto request = site.request("/orders/x", "r1");
+                    request.set("X-Note", std::string(8000, 'x'));
+                    expect(caller, request, 431);
+                });
+        section("a body over the limit",
+                [&]
+                {
+                    test_caller caller(gateway.callers());
+                    auto request = site.request("/orders/x", "r2");
+                    request.body() = std::string(200'000, 'x');
+                    expect(caller, request, 413);
+                });
+        section("headers that do not come to an end",
+                [&]
+                {
+                    test_caller caller(gateway.callers());
+                    caller.send("POST /orders/x HTTP/1.1\r\nHost: si");
+                    const auto answer = caller.read_answer();
+                    CPPUNIT_ASSERT(answer);
+                    CPPUNIT_ASSERT_EQUAL(408U, answer->result_int());
+                });
+        section("a body in chunks is passed on whole",
+                [&]
+                {
+                    test_caller caller(gateway.callers());
+                    auto request = site.request("/orders/x", "r3");
+                    std::string text = "POST /orders/x HTTP/1.1\r\nHost: "
+                                       "site.example\r\nX-Attempt-Id: r3\r\n"
+                                       "X-Key: " +
+                                       std::string(test_key) +
+                                       "\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                       "4\r\nbody\r\n3\r\n of\r\n";
+                    caller.send(text);
+                    caller.send("3\r\n r3\r\n0\r\n\r\n");
+                    const auto answer = caller.read_answer();
+                    CPPUNIT_ASSERT(answer);
+                    CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+                });
+    }
+
+    void several_requests_in_one_packet()
+    {
+        platform_site site;
+        site.add_backend("desk", "desk-1");
+        site.add_route("/orders/", "idempotent", "desk");
+        site.publish();
+        auto& gateway = site.start_gateway();
+        test_caller caller(gateway.callers());
+        const auto text = [](const std::string& id)
+        {
+            return "GET /orders/x HTTP/1.1\r\nHost: site.example\r\n"
+                   "X-Attempt-Id: " +
+                   id + "\r\nX-Key: " + test_key + "\r\n\r\n";
+        };
+        caller.send(text("one") + text("two") + text("three"));
+        for (const std::string id : {"one", "two", "three"})
+        {
+            section("answer to " + id,
+                    [&]
+                    {
+                        const auto answer = caller.read_answer();
+                        CPPUNIT_ASSERT(answer);
+                        CPPUNIT_ASSERT_EQUAL(answer_body("desk-1", id),
+                                             answer->body());
+                    });
+        }
+    }
+
+private:
+    static void expect(test_caller& caller, const text_request& request,
+                       unsigned status)
+    {
+        const auto answer = caller.ask(request);
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(status, answer->result_int());
+        CPPUNIT_ASSERT(status == 200 ||
+                       answer->find("X-Response-Seal") == answer->end());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(forwarding_test);
+
+} // namespace mangolink::test
--- /dev/null
+++ b/tests/platform/stop_test.cpp
@@ -0,0 +1,189 @@
+#include "support/platform_site.hpp"
+#include "support/story.hpp"
+
+#include <csignal>
+#include <thread>
+
+namespace mangolink::test
+{
+
+/// Stops, restarts and signals of gateway processes.
+class stop_test final : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(stop_test);
+    CPPUNIT_TEST(a_stop_cuts_no_request);
+    CPPUNIT_TEST(late_requests_are_refused_not_cut);
+    CPPUNIT_TEST(reload_keeps_serving);
+    CPPUNIT_TEST(all_killed_at_once_serve_again);
+    CPPUNIT_TEST(wrong_settings_are_told);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void a_stop_cuts_no_request()
+    {
+        platform_site site;
+        auto& server = prepare(site);
+        auto& gateway = site.start_gateway();
+        test_caller kept(gateway.callers());
+        CPPUNIT_ASSERT(kept.ask(site.request("/orders/x", "first")));
+        server.set_delay(milliseconds(1000));
+        std::optional<text_response> slow;
+        std::thread during(
+            [&]
+            {
+                test_caller caller(gateway.callers());
+                slow = caller.ask(site.request("/orders/x", "slow"));
+            });
+        CPPUNIT_ASSERT(
+            bench::wait_until([&] { return server.runs("slow") == 1; }));
+        gateway.process().signal(SIGTERM);
+        section("it is not ready at once",
+                [&]
+                {
+                    CPPUNIT_ASSERT(bench::wait_until(
+                        [&] { return !gateway.ready(); }, milliseconds(2000)));
+                });
+        section("a kept connection is served and told to close",
+                [&]
+                {
+                    const auto answer =
+                        kept.ask(site.request("/orders/x", "kept"));
+                    CPPUNIT_ASSERT(answer);
+                    CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+                    CPPUNIT_ASSERT(!answer->keep_alive());
+                });
+        during.join();
+        section("the request in flight is answered",
+                [&]
+                {
+                    CPPUNIT_ASSERT(slow);
+                    CPPUNIT_ASSERT_EQUAL(200U, slow->result_int());
+                });
+        section("it ends by itself",
+                [&] {
+                    CPPUNIT_ASSERT_EQUAL(
+                        0, gateway.process().wait(milliseconds(30'000)));
+                });
+    }
+
+    void late_requests_are_refused_not_cut()
+    {
+        platform_site site;
+        auto& server = prepare(site);
+        auto& gateway = site.start_gateway();
+        server.set_delay(milliseconds(900));
+        std::vector<std::unique_ptr<test_caller>> kept;
+        constexpr int callers = 12;
+        for (int i = 0; i < callers; ++i)
+        {
+            kept.push_back(std::make_unique<test_caller>(gateway.callers()));
+        }
+        gateway.process().signal(SIGTERM);
+        // One request each 300 ms, until long after the stop began.
+        std::vector<std::thread> threads;
+        std::atomic<int> served{0};
+        std::atomic<int> refused{0};
+        std::atomic<int> unread{0};
+        for (int i = 0; i < callers; ++i)
+        {
+            threads.emplace_back(
+                [&, i]
+                {
+                    std::this_thread::sleep_for(milliseconds(300) * i);
+                    const std::string id = "r" + std::to_string(i);
+                    const auto answer = kept[static_cast<std::size_t>(i)]->ask(
+                        site.request("/orders/x", id));
+                    const unsigned status = answer ? answer->result_int() : 0;
+                    served += status == 200 ? 1 : 0;
+                    refused += status == 503 ? 1 : 0;
+                    // Closed without having been read: it never ran.
+                    unread += status == 0 && server.runs(id) == 0 ? 1 : 0;
+                });
+        }
+        for (auto& thread : threads)
+        {
+            thread.join();
+        }
+        CPPUNIT_ASSERT(served > 0);
+        CPPUNIT_ASSERT_EQUAL(callers, served + refused + unread);
+    }
+
+    void reload_keeps_serving()
+    {
+        platform_site site;
+        prepare(site);
+        auto& gateway = site.start_gateway();
+        gateway.process().signal(SIGHUP);
+        CPPUNIT_ASSERT(bench::wait_until(
+            [&]
+            {
+                return gateway.log_text().find("Settings read again") !=
+                       std::string::npos;
+            }));
+        test_caller caller(gateway.callers());
+        const auto answer = caller.ask(site.request("/orders/x", "r1"));
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+    }
+
+    void all_killed_at_once_serve_again()
+    {
+        platform_site site;
+        prepare(site);
+        constexpr std::size_t count = 3;
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            site.start_gateway();
+        }
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            site.gateway(i).process().signal(SIGKILL);
+        }
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            site.gateway(i).process().wait(milliseconds(10'000));
+            site.gateway(i).start();
+        }
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            CPPUNIT_ASSERT(
+                bench::wait_until([&] { return site.gateway(i).ready(); }));
+            test_caller caller(site.gateway(i).callers());
+            const auto answer =
+                caller.ask(site.request("/orders/x", "r" + std::to_string(i)));
+            CPPUNIT_ASSERT(answer);
+            CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+        }
+    }
+
+    void wrong_settings_are_told()
+    {
+        platform_site site;
+        prepare(site);
+        bool started = true;
+        try
+        {
+            site.start_gateway("[surprise]\nkey = 1\n");
+        }
+        catch (const std::runtime_error& error)
+        {
+            started = false;
+            CPPUNIT_ASSERT(std::string(error.what()).find("surprise.key") !=
+                           std::string::npos);
+        }
+        CPPUNIT_ASSERT(!started);
+    }
+
+private:
+    static backend_standin& prepare(platform_site& site)
+    {
+        auto& server = site.add_backend("desk", "desk-1");
+        site.add_route("/orders/", "idempotent", "desk");
+        site.publish();
+        return server;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(stop_test);
+
+} // namespace mangolink::test
--- /dev/null
+++ b/tests/platform/stream_test.cpp
@@ -0,0 +1,168 @@
+#include "support/platform_site.hpp"
+#include "support/story.hpp"
+
+namespace mangolink::test
+{
+namespace
+{
+
+std::string events(unsigned first, unsigned last)
+{
+    std::string text;
+    for (unsigned number = first; number <= last; ++number)
+    {
+        text += event_text(number);
+    }
+    return text;
+}
+
+} // namespace
+
+/// Event streams: complete, resumed or visibly broken off.
+class stream_test final : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(stream_test);
+    CPPUNIT_TEST(events_are_passed_on);
+    CPPUNIT_TEST(a_resumable_stream_goes_on_elsewhere);
+    CPPUNIT_TEST(other_streams_are_cut_visibly);
+    CPPUNIT_TEST(callers_that_leave_end_the_work);
+    CPPUNIT_TEST(the_time_limit_of_the_route_ends_a_stream);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void events_are_passed_on()
+    {
+        platform_site site;
+        auto& engine = site.add_backend("engine", "engine-1");
+        engine.set_stream(6, milliseconds(30));
+        site.add_route("/talk/", "streaming", "engine");
+        site.publish();
+        auto& gateway = site.start_gateway();
+        test_caller caller(gateway.callers());
+        section(
+            "from the beginning",
+            [&]
+            {
+                const auto answer = caller.ask(site.request("/talk/x", "r1"));
+                CPPUNIT_ASSERT(answer);
+                CPPUNIT_ASSERT_EQUAL(events(1, 6), answer->body());
+                CPPUNIT_ASSERT((*answer)["X-Response-Seal"] == "seal-engine-1");
+            });
+        section("from where the caller left off",
+                [&]
+                {
+                    auto request = site.request("/talk/x", "r2");
+                    request.set("Last-Event-Id", "4");
+                    const auto answer = caller.ask(request);
+                    CPPUNIT_ASSERT(answer);
+                    CPPUNIT_ASSERT_EQUAL(events(5, 6), answer->body());
+                });
+    }
+
+    void a_resumable_stream_goes_on_elsewhere()
+    {
+        platform_site site;
+        auto& one = site.add_backend("engine", "engine-1");
+        auto& two = site.add_backend("engine", "engine-2");
+        site.add_route("/talk/", "streaming", "engine")["streamResume"] = true;
+        site.publish();
+        auto& gateway = site.start_gateway();
+        for (unsigned broken = 1; broken <= 4; ++broken)
+        {
+            for (auto* engine : {&one, &two})
+            {
+                engine->set_stream(5, milliseconds(10));
+                engine->break_next_stream_after(0);
+            }
+            // Whichever is asked first breaks; the other has no fault by then.
+            one.break_next_stream_after(broken);
+            two.break_next_stream_after(broken);
+            const std::string id = "r" + std::to_string(broken);
+            section("broken after event " + std::to_string(broken),
+                    [&]
+                    {
+                        test_caller caller(gateway.callers());
+                        const auto answer =
+                            caller.ask(site.request("/talk/x", id));
+                        const auto sends = one.runs(id) + two.runs(id);
+                        CPPUNIT_ASSERT_EQUAL(std::size_t(2), sends);
+                        // The second one breaks off too, as far again.
+                        const auto last = std::min(5U, 2 * broken);
+                        if (2 * broken > 5)
+                        {
+                            CPPUNIT_ASSERT(answer);
+                            CPPUNIT_ASSERT_EQUAL(events(1, 5), answer->body());
+                        }
+                        else
+                        {
+                            CPPUNIT_ASSERT(!answer);
+                            CPPUNIT_ASSERT_EQUAL(events(1, last),
+                                                 caller.partial_body());
+                        }
+                    });
+        }
+    }
+
+    void other_streams_are_cut_visibly()
+    {
+        platform_site site;
+        auto& engine = site.add_backend("engine", "engine-1");
+        site.add_backend("engine", "engine-2").set_stream(5, {});
+        engine.set_stream(5, milliseconds(10));
+        site.add_route("/talk/", "streaming", "engine");
+        site.publish();
+        site.unregister_server("engine-2");
+        auto& gateway = site.start_gateway();
+        engine.break_next_stream_after(2);
+        test_caller caller(gateway.callers());
+        const auto answer = caller.ask(site.request("/talk/x", "r1"));
+        section("the answer does not look complete",
+                [&] { CPPUNIT_ASSERT(!answer); });
+        section("whole events were delivered, the broken one was not", [&]
+                { CPPUNIT_ASSERT_EQUAL(events(1, 2), caller.partial_body()); });
+        section("it was not sent again", [&]
+                { CPPUNIT_ASSERT_EQUAL(std::size_t(1), engine.runs("r1")); });
+    }
+
+    void callers_that_leave_end_the_work()
+    {
+        platform_site site;
+        auto& engine = site.add_backend("engine", "engine-1");
+        site.add_route("/status/", "idempotent", "engine");
+        site.publish();
+        auto& gateway = site.start_gateway();
+        engine.add_faults({backend_fault::hang});
+        test_caller caller(gateway.callers());
+        caller.send("GET /status/x HTTP/1.1\r\nHost: site.example\r\n"
+                    "X-Attempt-Id: r1\r\nX-Key: " +
+                    std::string(test_key) + "\r\n\r\n");
+        CPPUNIT_ASSERT(
+            bench::wait_until([&] { return engine.runs("r1") == 1; }));
+        caller.close();
+        section("the server is told at once, and not asked again",
+                [&]
+                {
+                    CPPUNIT_ASSERT(bench::wait_until(
+                        [&] { return engine.server().abandoned() == 1; }));
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(1), engine.seen().size());
+                });
+    }
+
+    void the_time_limit_of_the_route_ends_a_stream()
+    {
+        platform_site site;
+        auto& engine = site.add_backend("engine", "engine-1");
+        engine.set_stream(100, milliseconds(100));
+        site.add_route("/talk/", "streaming", "engine")["timeoutMs"] = 600;
+        site.publish();
+        auto& gateway = site.start_gateway();
+        test_caller caller(gateway.callers());
+        const auto answer = caller.ask(site.request("/talk/x", "r1"));
+        CPPUNIT_ASSERT(!answer);
+        CPPUNIT_ASSERT(caller.partial_body().starts_with(events(1, 3)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(stream_test);
+
+} // namespace mangolink::test
--- /dev/null
+++ b/tests/standins/backend_standin.cpp
@@ -0,0 +1,206 @@
+#include "standins/backend_standin.hpp"
+
+#include <absl/strings/ascii.h>
+
+#include <algorithm>
+
+namespace mangolink::test
+{
+
+std::string answer_body(const std::string& server, const std::string& request)
+{
+    return "answer of " + server + " to " + request;
+}
+
+std::string event_text(unsigned number)
+{
+    return "id: " + std::to_string(number) + "\ndata: part " +
+           std::to_string(number) + "\n\n";
+}
+
+backend_standin::backend_standin(std::string id)
+    : id_(std::move(id)),
+      server_([this](const text_request& request, standin_server::reply reply)
+              { handle(request, std::move(reply)); })
+{
+}
+
+void backend_standin::add_faults(const std::vector<backend_fault>& faults)
+{
+    const std::lock_guard lock(mutex_);
+    faults_.insert(faults_.end(), faults.begin(), faults.end());
+}
+
+void backend_standin::clear_faults()
+{
+    const std::lock_guard lock(mutex_);
+    faults_.clear();
+}
+
+void backend_standin::set_stream(unsigned events, milliseconds pause)
+{
+    const std::lock_guard lock(mutex_);
+    stream_events_ = events;
+    stream_pause_ = pause;
+}
+
+std::vector<seen_request> backend_standin::seen() const
+{
+    const std::lock_guard lock(mutex_);
+    return seen_;
+}
+
+std::size_t backend_standin::runs(const std::string& request_id) const
+{
+    const std::lock_guard lock(mutex_);
+    return static_cast<std::size_t>(
+        std::count_if(seen_.begin(), seen_.end(),
+                      [&request_id](const seen_request& row)
+                      { return row.id == request_id && row.ran; }));
+}
+
+void backend_standin::handle(const text_request& request,
+                             standin_server::reply reply)
+{
+    const std::lock_guard lock(mutex_);
+    seen_request row;
+    row.id = std::string(request["X-Attempt-Id"]);
+    row.target = std::string(request.target());
+    row.body = request.body();
+    row.at = boot_clock::now();
+    for (const auto& field : request)
+    {
+        std::string name(field.name_string());
+        absl::AsciiStrToLower(&name);
+        row.headers[name] = std::string(field.value());
+    }
+    const auto fault = next_fault();
+    const bool expected = request["X-Expect-Instance"] == id_;
+    row.ran = expected && fault != backend_fault::shed;
+    seen_.push_back(row);
+    if (!expected)
+    {
+        reply(scripted_answer::of(421, "", {"X-Instance-Id: " + id_}));
+        return;
+    }
+    auto script = stream_events_ > 0 && fault == backend_fault::none
+                      ? stream(request)
+                      : answer(request, fault);
+    const milliseconds delay(delay_ms_.load());
+    if (delay > milliseconds(0) && !script.parts.empty())
+    {
+        script.parts.front().pause += delay;
+    }
+    reply(std::move(script));
+}
+
+scripted_answer backend_standin::answer(const text_request& request,
+                                        backend_fault fault)
+{
+    const std::string id(request["X-Attempt-Id"]);
+    const auto body = answer_body(id_, id);
+    auto headers = answer_headers(id);
+    auto whole = scripted_answer::of(200, body, headers);
+    std::string& bytes = whole.parts.front().bytes;
+    std::string unframed = "HTTP/1.1 200 OK\r\n";
+    for (const auto& header : headers)
+    {
+        unframed += header + "\r\n";
+    }
+    unframed += "\r\n" + body;
+    switch (fault)
+    {
+    case backend_fault::none:
+        break;
+    case backend_fault::shed:
+        return scripted_answer::of(
+            503, "", {"X-Not-Executed: 1", "X-Attempt-Id: " + id});
+    case backend_fault::failure:
+        return scripted_answer::of(500, "failed", headers);
+    case backend_fault::unproven_refusal:
+        return scripted_answer::of(503, "busy", {"X-Attempt-Id: " + id});
+    case backend_fault::answer_lost:
+        bytes.clear();
+        whole.end = answer_end::reset;
+        break;
+    case backend_fault::truncated:
+        bytes.resize(bytes.size() - 5);
+        whole.end = answer_end::closed;
+        break;
+    case backend_fault::unsigned_success:
+        return scripted_answer::of(200, body, {"X-Attempt-Id: " + id});
+    case backend_fault::foreign_answer:
+        bytes = scripted_answer::of(200, "not yours", answer_headers("other"))
+                    .parts.front()
+                    .bytes +
+                bytes;
+        break;
+    case backend_fault::extra_answer:
+        bytes += bytes;
+        break;
+    case backend_fault::unframed:
+    case backend_fault::unframed_reset:
+        bytes = unframed;
+        whole.end = fault == backend_fault::unframed ? answer_end::closed
+                                                     : answer_end::reset;
+        break;
+    case backend_fault::hang:
+        bytes.clear();
+        whole.end = answer_end::silent;
+        break;
+    }
+    return whole;
+}
+
+scripted_answer backend_standin::stream(const text_request& request)
+{
+    const std::string id(request["X-Attempt-Id"]);
+    const std::string last(request["Last-Event-Id"]);
+    const unsigned first =
+        last.empty() ? 1 : static_cast<unsigned>(std::stoul(last)) + 1;
+    std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                       "Transfer-Encoding: chunked\r\n";
+    for (const auto& header : answer_headers(id))
+    {
+        head += header + "\r\n";
+    }
+    scripted_answer script;
+    script.parts.push_back({head + "\r\n", {}});
+    const unsigned stop_after = break_after_.exchange(0);
+    for (unsigned number = first; number <= stream_events_; ++number)
+    {
+        const auto text = event_text(number);
+        std::array<char, 16> size{};
+        std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+        script.parts.push_back(
+            {std::string(size.data()) + text + "\r\n", stream_pause_});
+        if (stop_after > 0 && number - first + 1 == stop_after)
+        {
+            script.parts.push_back({"10\r\nid: 99\nda", {}});
+            script.end = answer_end::closed;
+            return script;
+        }
+    }
+    script.parts.push_back({"0\r\n\r\n", {}});
+    return script;
+}
+
+std::vector<std::string>
+backend_standin::answer_headers(const std::string& request) const
+{
+    return {"X-Attempt-Id: " + request, "X-Response-Seal: seal-" + id_,
+            "X-Instance-Id: " + id_};
+}
+
+backend_fault backend_standin::next_fault()
+{
+    if (faults_.empty())
+    {
+        return backend_fault::none;
+    }
+    const auto fault = faults_.front();
+    faults_.pop_front();
+    return fault;
+}
+
+} // namespace mangolink::test
--- /dev/null
+++ b/tests/standins/pool_standin.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "standins/standin_server.hpp"
+
+#include <cstdint>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mangolink::test
+{
+
+/// Piece as a stage server got it.
+struct seen_piece final
+{
+    std::string request;
+    unsigned stage = 0;
+    unsigned piece = 0;
+    std::string key;
+    std::vector<std::string> inputs;
+};
+
+/// Stand-in for a stage server: makes the pieces of a call after a time, one
+/// call at a time, and keeps results until they are given up. Any thread.
+class pool_standin final
+{
+public:
+    pool_standin(std::string id, milliseconds call_time);
+
+    /// Makes the next calls get 503 with the proof, or no answer at all.
+    void shed_next(unsigned calls) { shed_ = calls; }
+    void hang_next(unsigned calls) { hang_ = calls; }
+
+    /// Makes the next pieces end with a reason in place of a result.
+    void fail_next(unsigned pieces, const std::string& reason);
+
+    std::vector<seen_piece> seen() const;
+
+    /// Returns the pieces of each call, in order.
+    std::vector<std::size_t> calls() const;
+
+    /// Returns the results that were made and not given up.
+    std::size_t kept() const;
+
+    const std::string& id() const { return id_; }
+    std::string address() const { return server_.address().text(); }
+    standin_server& server() { return server_; }
+
+private:
+    void handle(const text_request& request, standin_server::reply reply);
+    scripted_answer make(const std::string& body);
+
+    std::string id_;
+    milliseconds call_time_;
+    mutable std::mutex mutex_;
+    std::vector<seen_piece> seen_;
+    std::vector<std::size_t> calls_;
+    std::set<std::string> kept_;
+    unsigned made_ = 0;
+    std::atomic<unsigned> shed_{0};
+    std::atomic<unsigned> hang_{0};
+    unsigned fail_ = 0;
+    std::string fail_reason_;
+    standin_server server_; ///< last: its thread uses the rest
+};
+
+} // namespace mangolink::test
--- /dev/null
+++ b/tests/standins/standin_server.cpp
@@ -0,0 +1,171 @@
+#include "standins/standin_server.hpp"
+
+#include "connection/listening_socket.hpp"
+#include "connection/socket_state.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace mangolink::test
+{
+
+scripted_answer scripted_answer::of(unsigned status, const std::string& body,
+                                    const std::vector<std::string>& headers)
+{
+    std::string bytes = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
+    for (const auto& header : headers)
+    {
+        bytes += header + "\r\n";
+    }
+    bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    bytes += body;
+    scripted_answer answer;
+    answer.parts.push_back({bytes, {}});
+    return answer;
+}
+
+standin_server::standin_server(handler handle)
+    : handle_(std::move(handle)),
+      acceptor_(listening_socket(io_, socket_address{"127.0.0.1", 0})),
+      address_{"127.0.0.1", acceptor_.local_endpoint().port()}
+{
+    asio::co_spawn(io_, accept_loop(), asio::detached);
+    thread_ = std::thread([this] { io_.run(); });
+}
+
+standin_server::~standin_server()
+{
+    io_.stop();
+    thread_.join();
+}
+
+void standin_server::post(std::function<void()> work, milliseconds after)
+{
+    asio::post(
+        io_,
+        [this, work = std::move(work), after]
+        {
+            auto timer = std::make_shared<asio::steady_timer>(io_, after);
+            timer->async_wait([timer, work](const error_code&) { work(); });
+        });
+}
+
+void standin_server::set_deaf(bool deaf)
+{
+    post(
+        [this, deaf]
+        {
+            deaf_ = deaf;
+            for (const auto& weak : open_)
+            {
+                if (const auto socket = weak.lock(); socket && deaf)
+                {
+                    close_socket(*socket);
+                }
+            }
+            open_.clear();
+        });
+}
+
+asio::awaitable<void> standin_server::accept_loop()
+{
+    while (true)
+    {
+        auto socket = std::make_shared<tcp::socket>(io_);
+        error_code error;
+        co_await acceptor_.async_accept(*socket, into(error));
+        if (error || deaf_)
+        {
+            continue;
+        }
+        open_.push_back(socket);
+        asio::co_spawn(io_, serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> standin_server::serve(std::shared_ptr<tcp::socket> socket)
+{
+    boost::beast::flat_buffer buffer;
+    while (true)
+    {
+        http::request_parser<http::string_body> parser;
+        constexpr std::uint64_t largest = 16 * 1024 * 1024;
+        parser.body_limit(largest);
+        error_code error;
+        co_await http::async_read(*socket, buffer, parser, into(error));
+        if (error)
+        {
+            co_return;
+        }
+        const auto answered = std::make_shared<asio::steady_timer>(
+            io_, asio::steady_timer::time_point::max());
+        const auto answer = std::make_shared<std::optional<scripted_answer>>();
+        const text_request request = parser.release();
+        handle_(request,
+                [answered, answer](scripted_answer given)
+                {
+                    *answer = std::move(given);
+                    answered->cancel();
+                });
+        if (!*answer)
+        {
+            co_await answered->async_wait(into(error));
+        }
+        if (!*answer)
+        {
+            co_return;
+        }
+        scripted_answer script = std::move(**answer);
+        if (!co_await send(socket, std::move(script)))
+        {
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<bool> standin_server::send(std::shared_ptr<tcp::socket> socket,
+                                           scripted_answer answer)
+{
+    for (const auto& part : answer.parts)
+    {
+        if (part.pause > milliseconds(0))
+        {
+            co_await pause(io_, part.pause);
+        }
+        error_code error;
+        co_await asio::async_write(*socket, asio::buffer(part.bytes),
+                                   into(error));
+        if (error)
+        {
+            co_return false;
+        }
+    }
+    if (answer.end == answer_end::silent)
+    {
+        // Keeps the connection open until the peer or the test ends it.
+        error_code ignored;
+        std::array<char, 64> bytes{};
+        while (!ignored)
+        {
+            co_await socket->async_read_some(asio::buffer(bytes),
+                                             into(ignored));
+        }
+        ++abandoned_;
+        co_return false;
+    }
+    if (answer.end == answer_end::reset)
+    {
+        error_code ignored; // the connection ends either way
+        socket->set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    if (answer.end != answer_end::whole || answer.close_after)
+    {
+        close_socket(*socket);
+        co_return false;
+    }
+    co_return true;
+}
+
+} // namespace mangolink::test
--- /dev/null
+++ b/tests/standins/standin_server.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "base/socket_address.hpp"
+#include "connection/asio_types.hpp"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace mangolink::test
+{
+
+/// How a stand-in ends an answer.
+enum class answer_end : std::uint8_t
+{
+    whole,
+    closed, ///< the connection is closed after the bytes
+    reset,  ///< the connection is reset after the bytes
+    silent  ///< nothing more is ever sent
+};
+
+/// Bytes of an answer that go out together after a pause.
+struct answer_part final
+{
+    std::string bytes;
+    milliseconds pause{0};
+};
+
+/// What a stand-in does with a request; parts are sent as they are.
+struct scripted_answer final
+{
+    std::vector<answer_part> parts;
+    answer_end end = answer_end::whole;
+    bool close_after = false; ///< ends the connection after a whole answer
+
+    /// Returns a whole answer with a body and headers ("Name: value" each).
+    static scripted_answer of(unsigned status, const std::string& body,
+                              const std::vector<std::string>& headers = {});
+};
+
+/// HTTP server on loopback that answers from a script, on a thread of its own.
+class standin_server final
+{
+public:
+    using reply = std::function<void(scripted_answer)>;
+    /// Handles a request now or later by calling reply on the server's thread.
+    using handler = std::function<void(const text_request&, reply)>;
+
+    explicit standin_server(handler handle);
+    ~standin_server();
+
+    standin_server(const standin_server&) = delete;
+    standin_server& operator=(const standin_server&) = delete;
+
+    const socket_address& address() const { return address_; }
+
+    /// Runs a function on the server's thread, after a time.
+    void post(std::function<void()> work, milliseconds after = {});
+
+    /// Returns how many connections their peers closed while an answer was
+    /// being held back.
+    std::size_t abandoned() const { return abandoned_; }
+
+    /// Stops to accept and closes every connection; the port stays taken.
+    void set_deaf(bool deaf);
+
+private:
+    asio::awaitable<void> accept_loop();
+    asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket);
+    asio::awaitable<bool> send(std::shared_ptr<tcp::socket> socket,
+                               scripted_answer answer);
+
+    asio::io_context io_{1};
+    handler handle_;
+    tcp::acceptor acceptor_;
+    socket_address address_;
+    std::vector<std::weak_ptr<tcp::socket>> open_;
+    bool deaf_ = false;
+    std::atomic<std::size_t> abandoned_{0};
+    std::thread thread_;
+};
+
+} // namespace mangolink::test
--- /dev/null
+++ b/tests/standins/store_standin.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "standins/standin_server.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace mangolink::test
+{
+
+/// How the stand-in of the store treats calls.
+enum class store_mode : std::uint8_t
+{
+    serving,
+    busy,  ///< 503
+    silent ///< no answer
+};
+
+/// Stand-in for the platform's store: items, ranges in pages, watches, and a
+/// history that can be dropped. Any thread.
+class store_standin final
+{
+public:
+    store_standin();
+
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+
+    /// Drops the history: watches from before get 410.
+    void compact();
+
+    void set_mode(store_mode mode);
+
+    /// Makes one in this many calls lose its answer; 0: none.
+    void lose_every(unsigned calls) { lose_every_ = calls; }
+
+    std::string address() const { return server_.address().text(); }
+
+    /// Returns how many calls were made.
+    std::uint64_t calls() const { return calls_; }
+
+private:
+    struct item final
+    {
+        std::string value;
+        std::uint64_t revision = 0;
+        std::uint64_t created = 0;
+    };
+    struct change final
+    {
+        std::uint64_t revision = 0;
+        std::string key;
+        std::optional<item> now; ///< nothing: removed
+    };
+    struct waiting_watch final
+    {
+        std::string prefix;
+        std::uint64_t after = 0;
+        standin_server::reply reply;
+        boot_clock::time_point until;
+    };
+
+    void handle(const text_request& request, standin_server::reply reply);
+    scripted_answer read(const std::string& key) const;
+    scripted_answer range(const std::string& prefix,
+                          const std::string& after) const;
+    std::optional<scripted_answer> events(const std::string& prefix,
+                                          std::uint64_t after, bool over) const;
+    nlohmann::json shown(const std::string& key, const item& row) const;
+    void wake();
+    void tick();
+
+    mutable std::mutex mutex_;
+    std::map<std::string, item> items_;
+    std::vector<change> history_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t oldest_ = 1;
+    std::vector<waiting_watch> watches_;
+    store_mode mode_ = store_mode::serving;
+    std::atomic<unsigned> lose_every_{0};
+    std::atomic<std::uint64_t> calls_{0};
+    standin_server server_; ///< last: its thread uses the rest
+};
+
+} // namespace mangolink::test
--- /dev/null
+++ b/tests/support/platform_site.cpp
@@ -0,0 +1,214 @@
+#include "support/platform_site.hpp"
+
+#include <unistd.h>
+
+#include <atomic>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace mangolink::test
+{
+namespace
+{
+
+using nlohmann::json;
+
+/// Returns a loopback address of its own for each process of a test run, so
+/// that all can use the same ports, as the platform's machines do.
+std::string next_host()
+{
+    static std::atomic<unsigned> count{0};
+    const unsigned number = ++count;
+    const auto process = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(100 + process % 100) + "." +
+           std::to_string(process / 100 % 250) + "." +
+           std::to_string(1 + number);
+}
+
+} // namespace
+
+gateway_process::gateway_process(const std::string& name,
+                                 const std::string& store,
+                                 const std::vector<std::string>& seeds,
+                                 const std::string& folder,
+                                 const std::string& more)
+    : host_(next_host()), settings_path_(folder + "/" + name + ".toml"),
+      log_path_(folder + "/" + name + ".log")
+{
+    std::string list;
+    for (const auto& seed : seeds)
+    {
+        list += (list.empty() ? "\"" : ", \"") + seed + "\"";
+    }
+    std::ofstream out(settings_path_);
+    out << "[instance]\nname = \"" << name << "\"\nzone = \"z1\"\n"
+        << "region = \"r1\"\n[gateway]\ncallers = \"" << callers().text()
+        << "\"\nreadiness = \"" << readiness().text() << "\"\noperators = \""
+        << operators().text() << "\"\npeers = \"" << peers() << "\"\nseeds = ["
+        << list << "]\nstop_limit_ms = 4000\n"
+        << "[platform]\nstore = \"" << store << "\"\nzones = [\"z1=r1\"]\n"
+        << "[keys]\nrevocation_limit_ms = 3000\n"
+        << "[retries]\nratio = 0.2\nslack = 400\n"
+        << more;
+    out.close();
+    start();
+}
+
+void gateway_process::start()
+{
+    process_ = std::make_unique<bench::child_process>(
+        std::vector<std::string>{GATEWAY_PROGRAM, "--settings", settings_path_},
+        log_path_);
+}
+
+bool gateway_process::ready() const
+{
+    try
+    {
+        test_caller caller(readiness());
+        text_request question(http::verb::get, "/v1/readyz", 11);
+        question.set(http::field::host, "balancer");
+        const auto answer = caller.ask(question);
+        return answer && answer->result() == http::status::ok;
+    }
+    catch (const boost::system::system_error&)
+    {
+        return false; // does not listen yet
+    }
+}
+
+std::string gateway_process::operators_page(const std::string& path) const
+{
+    test_caller caller(operators());
+    text_request question(http::verb::get, path, 11);
+    question.set(http::field::host, "operators");
+    const auto answer = caller.ask(question);
+    return answer ? answer->body() : "";
+}
+
+std::string gateway_process::log_text() const
+{
+    std::ifstream in(log_path_);
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+platform_site::platform_site()
+    : configuration_{
+          {"version", 0},
+          {"routes", json::array()},
+          {"services", json::array()},
+          {"limits",
+           {{"maxHeaderBytes", 4096},
+            {"maxBodyBytes", 100'000},
+            {"headerTimeoutMs", 500},
+            {"idleTimeoutMs", 10'000}}},
+          {"tenants", {{{"name", "casters"}, {"apiKeys", {test_key}}}}}}
+{
+    std::string name = "/tmp/mangolink-test-XXXXXX";
+    if (::mkdtemp(name.data()) == nullptr)
+    {
+        throw std::runtime_error("no folder for the test");
+    }
+    folder_ = name;
+}
+
+backend_standin& platform_site::add_backend(const std::string& service,
+                                            const std::string& id)
+{
+    backends_.push_back(std::make_unique<backend_standin>(id));
+    entries_[id] = {service, backends_.back()->address(), 0};
+    register_server(id, "ready");
+    return *backends_.back();
+}
+
+pool_standin& platform_site::add_pool(const std::string& service,
+                                      const std::string& id,
+                                      milliseconds call_time)
+{
+    pools_.push_back(std::make_unique<pool_standin>(id, call_time));
+    entries_[id] = {service, pools_.back()->address(), 0};
+    register_server(id, "ready");
+    return *pools_.back();
+}
+
+void platform_site::register_server(const std::string& id,
+                                    const std::string& state)
+{
+    entry& row = entries_[id];
+    const json value{{"service", row.service},
+                     {"address", row.address},
+                     {"zone", "z1"},
+                     {"version", "v1"},
+                     {"slots", 8},
+                     {"state", state},
+                     {"coldRemainingMs", 0},
+                     {"born", 1'000'000},
+                     {"sequence", ++row.sequence}};
+    store_.put("servers/" + id, value.dump());
+}
+
+void platform_site::unregister_server(const std::string& id)
+{
+    store_.remove("servers/" + id);
+}
+
+void platform_site::publish()
+{
+    configuration_["version"] = configuration_["version"].get<int>() + 1;
+    store_.put("op/config", configuration_.dump());
+}
+
+json& platform_site::add_route(const std::string& prefix,
+                               const std::string& kind,
+                               const std::string& service)
+{
+    configuration_["routes"].push_back({{"name", "route" + prefix},
+                                        {"hostname", "site.example"},
+                                        {"prefix", prefix},
+                                        {"routeType", kind},
+                                        {"timeoutMs", 4000},
+                                        {"targetLatencyMs", 500},
+                                        {"priority", 1},
+                                        {"service", service},
+                                        {"maxAttempts", 2},
+                                        {"anonymous", false}});
+    return configuration_["routes"].back();
+}
+
+gateway_process& platform_site::start_gateway(const std::string& more)
+{
+    std::vector<std::string> seeds;
+    for (const auto& other : gateways_)
+    {
+        seeds.push_back(other->peers());
+    }
+    const std::string name = "gateway-" + std::to_string(gateways_.size() + 1);
+    gateways_.push_back(std::make_unique<gateway_process>(
+        name, store_.address(), seeds, folder_, more));
+    if (!bench::wait_until([this] { return gateways_.back()->ready(); }))
+    {
+        throw std::runtime_error("gateway is not ready: " +
+                                 gateways_.back()->log_text());
+    }
+    return *gateways_.back();
+}
+
+text_request platform_site::request(const std::string& path,
+                                    const std::string& id,
+                                    milliseconds deadline)
+{
+    text_request result(http::verb::post, path, 11);
+    result.set(http::field::host, "site.example");
+    result.set("X-Attempt-Id", id);
+    result.set("X-Key", test_key);
+    result.set("X-Deadline-Ms", std::to_string(deadline.count()));
+    result.body() = "body of " + id;
+    result.prepare_payload();
+    return result;
+}
+
+} // namespace mangolink::test
