--- a/src/connection/backend_pool.cpp
+++ b/src/connection/backend_pool.cpp
@@ -18,8 +18,9 @@
 
 } // namespace
 
-backend_pool::backend_pool(asio::io_context& context, metrics_registry& metrics)
-    : context_(context),
+backend_pool::backend_pool(asio::io_context& context, connection_bound bound,
+                           metrics_registry& metrics)
+    : context_(context), bound_(std::move(bound)),
       opened_(metrics.counter("mangolink_backend_connections_total",
                               "how=\"opened\"")),
       reused_(metrics.counter("mangolink_backend_connections_total",
@@ -50,7 +51,23 @@
             co_return result;
         }
     }
-    auto fresh = std::make_shared<backend_connection>(context_);
+    count_pointer& slot = open_[server->id];
+    slot = slot ? slot : std::make_shared<std::size_t>(0);
+    if (*slot >= bound_(*server))
+    {
+        result.error = asio::error::no_buffer_space;
+        failed_.add();
+        co_return result;
+    }
+    ++*slot;
+    // The connection counts until its last user lets go of it.
+    const connection_pointer fresh(
+        new backend_connection(context_),
+        [count = slot](backend_connection* connection)
+        {
+            --*count;
+            delete connection;
+        });
     result.error = co_await fresh->connect(server->address, limit);
     if (result.error)
     {
@@ -58,7 +75,7 @@
         co_return result;
     }
     opened_.add();
-    result.connection = std::move(fresh);
+    result.connection = fresh;
     co_return result;
 }
 
@@ -77,6 +94,7 @@
 void backend_pool::forget(const std::string& server)
 {
     idle_.erase(server);
+    open_.erase(server); // connections in use keep their own count
 }
 
 void backend_pool::close_idle(boot_clock::time_point now)
@@ -88,6 +106,12 @@
     }
 }
 
+std::size_t backend_pool::open(const std::string& server) const
+{
+    const auto found = open_.find(server);
+    return found == open_.end() ? 0 : *found->second;
+}
+
 std::size_t backend_pool::idle() const
 {
     std::size_t count = 0;
--- a/src/connection/backend_pool.hpp
+++ b/src/connection/backend_pool.hpp
@@ -6,6 +6,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,7 +23,9 @@
 /// Keeps open connections to backend servers for reuse.
 ///
 /// A connection serves one exchange at a time and is reused only while it is
-/// clean and younger than the server's idle limit. Used by one thread.
+/// clean and younger than the server's idle limit. A server resets what it
+/// gets beyond its own limit, so no more are opened than this process's share.
+/// Used by one thread.
 class backend_pool final
 {
 public:
@@ -36,7 +39,11 @@
         error_code error;
     };
 
-    backend_pool(asio::io_context& context, metrics_registry& metrics);
+    /// Returns how many connections a server takes from this process.
+    using connection_bound = std::function<std::size_t(const backend_server&)>;
+
+    backend_pool(asio::io_context& context, connection_bound bound,
+                 metrics_registry& metrics);
     ~backend_pool();
 
     /// Returns an idle connection, or a new one within the limit.
@@ -56,6 +63,9 @@
 
     std::size_t idle() const;
 
+    /// Returns the open connections of a server, idle ones included.
+    std::size_t open(const std::string& server) const;
+
 private:
     struct idle_connection final
     {
@@ -63,11 +73,15 @@
         boot_clock::time_point until;
     };
 
+    using count_pointer = std::shared_ptr<std::size_t>;
+
     asio::io_context& context_;
+    connection_bound bound_;
     event_counter& opened_;
     event_counter& reused_;
     event_counter& failed_;
     absl::flat_hash_map<std::string, std::vector<idle_connection>> idle_;
+    absl::flat_hash_map<std::string, count_pointer> open_;
 };
 
 } // namespace mangolink
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -67,6 +67,10 @@
 
 constexpr std::size_t largest_answer = 16 * 1024 * 1024;
 
+/// Part of the process's memory that bodies of open requests may take; each
+/// is held twice while it is sent.
+constexpr double body_memory = 0.3;
+
 bool promises_not_run(unsigned status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
@@ -85,11 +89,13 @@
       arrival_(arrival), deadline_(arrival), wake_(context.io)
 {
     ++context_.open_requests;
+    context_.body_bytes += request_.body().size();
 }
 
 forward_run::~forward_run()
 {
     --context_.open_requests;
+    context_.body_bytes -= request_.body().size();
 }
 
 asio::awaitable<void> forward_run::serve()
@@ -152,6 +158,13 @@
         return refusal{http::status::service_unavailable, "stopping",
                        return_soon};
     }
+    const auto most_bytes = static_cast<std::uint64_t>(
+        body_memory * static_cast<double>(context_.settings.memory_bytes));
+    if (context_.body_bytes > most_bytes)
+    {
+        return refusal{http::status::service_unavailable, "memory",
+                       return_soon};
+    }
     configuration_ = context_.state.configuration();
     if (!configuration_)
     {
--- a/src/connection/gateway_context.hpp
+++ b/src/connection/gateway_context.hpp
@@ -30,6 +30,7 @@
     bool refusing = false; ///< stopping, and too late for new requests
     std::size_t open_callers = 0;
     std::size_t open_requests = 0;
+    std::uint64_t body_bytes = 0; ///< of open requests
 
     /// Returns the limits for callers in force.
     caller_limits limits() const;
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -75,7 +75,12 @@
                                settings_source reload,
                                const forward_protocol& protocol)
     : settings_(std::move(settings)), reload_(std::move(reload)),
-      protocol_(protocol), state_(settings_), connections_(io_, metrics_),
+      protocol_(protocol), state_(settings_),
+      connections_(
+          io_,
+          [this](const backend_server& server)
+          { return connection_share(server); },
+          metrics_),
       peers_({describe(settings_)}), stages_(io_, settings_, protocol_, state_,
                                              peers_, connections_, metrics_),
       feed_(
@@ -134,6 +139,21 @@
     return all_ended_;
 }
 
+std::size_t gateway_server::connection_share(const backend_server& server)
+{
+    // Enough for a call and its releases when a share would be less.
+    constexpr std::size_t least = 4;
+    const auto& configuration = state_.configuration();
+    const auto* service =
+        configuration ? configuration->find_service(server.service) : nullptr;
+    if (service == nullptr)
+    {
+        return settings_.max_descriptors; // another gateway, not a server
+    }
+    const auto processes = peers_.size() + 1;
+    return std::max(least, service->max_connections / processes);
+}
+
 void gateway_server::accept_callers()
 {
     callers_ = open_listener(io_, settings_.callers);
@@ -389,6 +409,7 @@
         }
         settings_.stop_limit = fresh.stop_limit;
         settings_.level = fresh.level;
+        configure_log(fresh.level, settings_.name);
         log_notice("gateway", "Settings read again.",
                    {{"seeds", std::to_string(fresh.seeds.size())}});
     }
