Ask a stage server for its room when a piece found none

Change: nothing is sent until the server has told what is free; results that this process does not know of count for a lifetime, less each moment.

Ruled out: waiting a fixed time (blocks rooms that were only just full).

--- a/src/connection/forward_protocol.hpp
+++ b/src/connection/forward_protocol.hpp
@@ -105,6 +105,13 @@
     release_call(const backend_server& server,
                  const std::vector<std::string>& handles) const = 0;
 
+    /// Returns the call that asks a stage server for its free room.
+    virtual text_request room_question(const backend_server& server) const = 0;
+
+    /// Reads its answer; nothing when it can't be read.
+    virtual std::optional<std::uint64_t>
+    read_free_bytes(std::string_view body) const = 0;
+
     /// Returns the address (IP:PORT) of the server that keeps a result.
     virtual std::string_view keeper(std::string_view handle) const = 0;
 
--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -26,6 +26,7 @@
 /// How long results are collected before they are given up together.
 constexpr milliseconds release_delay{10};
 constexpr milliseconds release_limit{1000};
+constexpr milliseconds room_question_delay{100};
 
 /// A living process that takes longer than this many times what was expected,
 /// and the reserve, does not answer on this connection. One that is silent is
@@ -255,7 +256,7 @@
         return nullptr;
     }
     auto row = std::make_unique<server_row>(
-        server_row{facts, stage_queue(*figures), {}, false, false, {}});
+        server_row{facts, stage_queue(*figures), {}, false, false, false, {}});
     return rows_.emplace(server, std::move(row)).first->second.get();
 }
 
@@ -407,6 +408,7 @@
 {
     static constexpr const char* names[] = {"made",    "late",   "no_input",
                                             "no_room", "failed", "unsent"};
+    bool full = false;
     for (std::size_t i = 0; i < pieces.size(); ++i)
     {
         const auto& order = *pieces[i].order;
@@ -422,6 +424,7 @@
         }
         else
         {
+            full = full || answer.end == stage_item_end::no_room;
             const std::string end = names[static_cast<std::size_t>(answer.end)];
             metrics_
                 .counter("mangolink_stage_pieces_failed_total",
@@ -447,6 +450,16 @@
             release({answer.handle});
         }
     }
+    if (full)
+    {
+        // Nothing is sent until the server has told what is free.
+        row.queue.room().observe_free(0, boot_clock::now());
+        if (!row.room_asked)
+        {
+            row.room_asked = true;
+            asio::co_spawn(io_, ask_room(row), asio::detached);
+        }
+    }
 }
 
 void stage_dispatcher::log_call(const server_row& row, std::size_t pieces,
@@ -601,6 +614,32 @@
     pump_soon(row);
 }
 
+asio::awaitable<void> stage_dispatcher::ask_room(server_row& row)
+{
+    // The report lags a little; releases under way are in it after that.
+    co_await pause(io_, room_question_delay);
+    row.room_asked = false;
+    const auto server = row.server;
+    if (!server)
+    {
+        co_return;
+    }
+    text_request request = protocol_.room_question(*server);
+    const auto answer =
+        co_await call(server, std::move(request), release_limit);
+    const auto free = answer && answer->result() == http::status::ok
+                          ? protocol_.read_free_bytes(answer->body())
+                          : std::nullopt;
+    if (free)
+    {
+        row.queue.room().observe_free(*free, boot_clock::now());
+    }
+    log_notice("stage", "Room asked for.",
+               {{"server", server->id},
+                {"free_bytes", free ? std::to_string(*free) : "no answer"}});
+    pump_after(row, milliseconds(0));
+}
+
 asio::awaitable<std::optional<text_response>>
 stage_dispatcher::call(server_pointer to, text_request request,
                        milliseconds limit,
--- a/src/connection/stage_dispatcher.hpp
+++ b/src/connection/stage_dispatcher.hpp
@@ -85,6 +85,7 @@
         std::vector<std::string> to_free;
         bool pump_pending = false;
         bool free_pending = false;
+        bool room_asked = false;
         std::optional<asio::steady_timer> wake; ///< at the end of avoidance
     };
     struct call_result final
@@ -126,6 +127,7 @@
     asio::awaitable<void> release_at(peer maker, std::string server,
                                      std::vector<std::string> handles);
     asio::awaitable<void> free_results(server_row& row);
+    asio::awaitable<void> ask_room(server_row& row);
     /// Makes a call and returns the whole body, or nothing.
     /// `running`, if not null, gets the exchange while it runs.
     asio::awaitable<std::optional<text_response>>
--- a/src/request/result_room.cpp
+++ b/src/request/result_room.cpp
@@ -36,6 +36,26 @@
     }
 }
 
+void result_room::observe_free(std::uint64_t bytes, boot_clock::time_point now)
+{
+    const std::uint64_t known = reserved_ + kept_ + bytes;
+    foreign_ = known < room_ ? room_ - known : 0;
+    observed_ = now;
+}
+
+std::uint64_t result_room::foreign(boot_clock::time_point now) const
+{
+    // Such results end one after the other over a lifetime.
+    const auto age = now - observed_;
+    if (foreign_ == 0 || age >= lifetime_)
+    {
+        return 0;
+    }
+    const double left = 1 - std::chrono::duration<double>(age) /
+                                std::chrono::duration<double>(lifetime_);
+    return static_cast<std::uint64_t>(static_cast<double>(foreign_) * left);
+}
+
 std::uint64_t result_room::free(boot_clock::time_point now)
 {
     while (!by_age_.empty() && by_age_.front().until <= now)
@@ -43,7 +63,7 @@
         release(by_age_.front().handle);
         by_age_.pop_front();
     }
-    const std::uint64_t used = reserved_ + kept_;
+    const std::uint64_t used = reserved_ + kept_ + foreign(now);
     return used < room_ ? room_ - used : 0;
 }
 
--- a/src/request/result_room.hpp
+++ b/src/request/result_room.hpp
@@ -39,6 +39,11 @@
     /// Counts that a result was given up.
     void release(const std::string& handle);
 
+    /// Takes what the server says is free. What it holds besides the results
+    /// counted here is of others, or of this process before a restart; it is
+    /// gone after a result's lifetime at the latest.
+    void observe_free(std::uint64_t bytes, boot_clock::time_point now);
+
     /// Returns the bytes that are free.
     std::uint64_t free(boot_clock::time_point now);
 
@@ -49,8 +54,12 @@
         boot_clock::time_point until;
     };
 
+    std::uint64_t foreign(boot_clock::time_point now) const;
+
     std::uint64_t room_;
     milliseconds lifetime_;
+    std::uint64_t foreign_ = 0; ///< at the time of the last observation
+    boot_clock::time_point observed_;
     std::uint64_t reserved_ = 0;
     std::uint64_t kept_ = 0;
     absl::flat_hash_map<std::string, std::uint64_t> results_;
