--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -57,6 +57,11 @@
 /// before it is set: half a call's wait, and the call.
 constexpr milliseconds following_stage_time{350};
 
+/// A request whose stages are expected to take longer than this many times the
+/// route's objective is refused at once: its work would only make others late.
+/// Expectations are means, so some above the objective are still in time.
+constexpr double admitted_lateness = 1.3;
+
 /// Time left under which another attempt makes no sense.
 constexpr milliseconds least_time{40};
 
@@ -237,7 +242,10 @@
                 context_.stages.expected_time(stages[i].service, demand);
         }
     }
-    if (!stages.empty() && expected + engine_time > time_left())
+    const auto useful = std::min(
+        time_left(), std::chrono::duration_cast<milliseconds>(
+                         route_->latency_objective * admitted_lateness));
+    if (!stages.empty() && expected + engine_time > useful)
     {
         return refusal{http::status::service_unavailable,
                        "stages would take " + text_of(expected) + " ms",
