Drop pieces of late requests while full batches of others wait

Change: such pieces end when a full batch that can be in time waits, unless theirs is the last stage. The store is tried again every 0.4 s behind a cut.

--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -351,6 +351,7 @@
     order->preference = direct_balancer::affinity_gain(wish());
     // The time by which the stages that follow must begin.
     const auto after = static_cast<int>(plan_->stages_after(stage));
+    order->stages_after = plan_->stages_after(stage);
     order->due = std::min(deadline_, arrival_ + route_->latency_objective) -
                  engine_time - following_stage_time * after;
     return order;
--- a/src/connection/http_caller.cpp
+++ b/src/connection/http_caller.cpp
@@ -16,6 +16,10 @@
 /// a watch may bring several.
 constexpr std::uint64_t largest_answer = 64ULL * 1024 * 1024;
 
+/// Connecting takes a round trip; a server behind a cut is tried again soon,
+/// so that the end of the cut is noticed.
+constexpr milliseconds connect_limit{400};
+
 } // namespace
 
 std::string http_caller::result::reason() const
@@ -79,7 +83,8 @@
 asio::awaitable<error_code> http_caller::connect(milliseconds limit)
 {
     auto fresh = std::make_shared<backend_connection>(context_);
-    const error_code error = co_await fresh->connect(address_, limit);
+    const milliseconds bounded = std::min(limit, connect_limit);
+    const error_code error = co_await fresh->connect(address_, bounded);
     connection_ = error ? nullptr : std::move(fresh);
     co_return error;
 }
--- a/src/connection/order_message.cpp
+++ b/src/connection/order_message.cpp
@@ -43,6 +43,7 @@
     message.set_deadline_ms(static_cast<std::uint32_t>(
         std::max<std::int64_t>(0, left_ms(order.deadline, now))));
     message.set_result_bytes(order.result_bytes);
+    message.set_stages_after(order.stages_after);
     return message.SerializeAsString();
 }
 
@@ -67,6 +68,7 @@
     order.due = now + milliseconds(message.due_ms());
     order.deadline = now + milliseconds(message.deadline_ms());
     order.result_bytes = message.result_bytes();
+    order.stages_after = message.stages_after();
     return result;
 }
 
--- a/src/request/stage_order.hpp
+++ b/src/request/stage_order.hpp
@@ -38,6 +38,7 @@
     std::vector<std::string> inputs; ///< results of earlier stages
     boot_clock::time_point due;      ///< made later, the request is late
     boot_clock::time_point deadline; ///< made later, they are of no use
+    std::uint32_t stages_after = 0;  ///< that must still follow
     std::uint64_t result_bytes = 0;  ///< approximate size of one result
     std::uint64_t input_bytes = 0;   ///< approximate size of one input
     std::string preferred_zone;      ///< of the model engine; empty: none
--- a/src/request/stage_queue.cpp
+++ b/src/request/stage_queue.cpp
@@ -98,11 +98,17 @@
 {
     std::vector<waiting_piece> over;
     const auto least = now + expected(1);
+    const auto in_time = std::count_if(queue_.begin(), queue_.end(),
+                                       [now](const waiting_piece& row)
+                                       { return row.order->due >= now; });
+    const bool crowded = in_time >= figures_.batch_size;
     std::erase_if(queue_,
                   [&](const waiting_piece& row)
                   {
-                      const bool drop =
-                          row.order->deadline < least || !row.order->wanted();
+                      const bool hopeless = crowded && row.order->due < now &&
+                                            row.order->stages_after > 0;
+                      const bool drop = row.order->deadline < least ||
+                                        hopeless || !row.order->wanted();
                       if (drop)
                       {
                           over.push_back(row);
--- a/src/request/stage_queue.hpp
+++ b/src/request/stage_queue.hpp
@@ -60,7 +60,8 @@
     std::vector<waiting_piece> begin_call(boot_clock::time_point now);
 
     /// Returns and drops the pieces that cannot be made before their deadline
-    /// or that nobody wants any more.
+    /// or that nobody wants any more, and, while a full batch of others waits,
+    /// those of requests that are late already and far from their end.
     std::vector<waiting_piece> take_expired(boot_clock::time_point now);
 
     /// Returns and drops all pieces that wait.
