Split forward_run and stage_dispatcher by what they do

Now: request_check (accepts or refuses on arrival), request_stages, forward_attempt (one send and its judgement), stream_forwarder (whole events, resumed ones too), stage_caller (calls of servers made here), backend_caller (bounded calls of our own). A connection path that no test could reach alone is reachable now.

--- /dev/null
+++ b/src/connection/accepted_request.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "connection/asio_types.hpp"
+#include "connection/forward_protocol.hpp"
+#include "version/gateway_configuration.hpp"
+
+#include <memory>
+#include <string>
+
+namespace mangolink
+{
+
+/// What was decided of a request when it arrived. The configuration of that
+/// moment holds for all of the request.
+struct accepted_request final
+{
+    request_facts facts;
+    std::shared_ptr<const gateway_configuration> configuration;
+    const gateway_route* route = nullptr;
+    const gateway_customer* customer = nullptr; ///< null: none is needed
+    std::string service;
+    boot_clock::time_point arrival;
+    boot_clock::time_point deadline;
+};
+
+/// Answer of a request that has not run.
+struct refusal final
+{
+    http::status status = http::status::service_unavailable;
+    std::string reason;
+    milliseconds come_back{0}; ///< 0: not said
+};
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/backend_caller.cpp
@@ -0,0 +1,64 @@
+#include "connection/backend_caller.hpp"
+
+#include "connection/backend_connection.hpp"
+#include "connection/backend_exchange.hpp"
+#include "connection/backend_pool.hpp"
+#include "connection/time_limit.hpp"
+#include "process/backend_server.hpp"
+
+namespace mangolink
+{
+namespace
+{
+
+/// Longest time to connect to a server or another process; a round trip
+/// between regions takes some 25 ms.
+constexpr milliseconds connect_limit{300};
+
+} // namespace
+
+backend_caller::backend_caller(asio::io_context& io,
+                               const forward_protocol& protocol,
+                               backend_pool& connections)
+    : io_(io), protocol_(protocol), connections_(connections)
+{
+}
+
+asio::awaitable<std::optional<text_response>>
+backend_caller::call(std::shared_ptr<const backend_server> to,
+                     text_request request, milliseconds limit,
+                     std::weak_ptr<backend_exchange>* running)
+{
+    const auto lease = co_await connections_.acquire(to, connect_limit);
+    if (!lease.connection)
+    {
+        co_return std::nullopt;
+    }
+    auto current = std::make_shared<backend_exchange>(
+        lease.connection, protocol_, std::move(request), std::string());
+    if (running != nullptr)
+    {
+        *running = current;
+    }
+    const time_limit guard(io_, limit, [current] { current->abort(); });
+    bool open = co_await current->begin();
+    text_response answer;
+    while (open && !current->complete())
+    {
+        open = co_await current->read_some(answer.body());
+    }
+    if (!open)
+    {
+        current->abort();
+        co_return std::nullopt;
+    }
+    if (current->reusable())
+    {
+        connections_.release(to->id, current->connection(),
+                             current->facts().keep_alive);
+    }
+    answer.base() = current->head();
+    co_return answer;
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/forward_attempt.cpp
@@ -0,0 +1,184 @@
+#include "connection/forward_attempt.hpp"
+
+#include "connection/backend_exchange.hpp"
+#include "connection/stream_forwarder.hpp"
+#include "connection/time_limit.hpp"
+#include "process/backend_server.hpp"
+
+namespace mangolink
+{
+namespace
+{
+
+constexpr std::size_t largest_answer = 16 * 1024 * 1024;
+
+constexpr unsigned conflict = 409;
+constexpr unsigned misdirected = 421;
+constexpr unsigned first_server_failure = 500;
+
+/// Returns whether a caller takes the status as proof of not having run.
+bool promises_not_run(unsigned status)
+{
+    return status == 408 || status == misdirected || status == 429 ||
+           status == 503;
+}
+
+} // namespace
+
+forward_attempt::forward_attempt(asio::io_context& io,
+                                 std::shared_ptr<const backend_server> server,
+                                 std::shared_ptr<backend_exchange> exchange)
+    : io_(io), server_(std::move(server)), exchange_(std::move(exchange))
+{
+}
+
+asio::awaitable<void> forward_attempt::run(attempt_limits limits,
+                                           stream_forwarder& stream,
+                                           std::function<void()> on_first_event)
+{
+    const auto began = boot_clock::now();
+    const bool head = co_await read_head(limits.first_byte);
+    first_byte_ =
+        std::chrono::duration_cast<milliseconds>(boot_clock::now() - began);
+    if (!head)
+    {
+        end_ = exchange_->sent() ? attempt_end::broken : attempt_end::unsent;
+    }
+    else if (is_stream())
+    {
+        co_await read_stream(limits.between_events, stream, on_first_event);
+    }
+    else
+    {
+        co_await read_whole(stream.begun());
+    }
+}
+
+bool forward_attempt::server_failure() const
+{
+    return status() >= first_server_failure;
+}
+
+unsigned forward_attempt::status() const
+{
+    const bool whole = end_ == attempt_end::answered ||
+                       end_ == attempt_end::refused ||
+                       end_ == attempt_end::inputs_gone;
+    return whole ? exchange_->head().result_int() : 0;
+}
+
+send_outcome forward_attempt::outcome(bool withdrawn) const
+{
+    switch (end_)
+    {
+    case attempt_end::answered:
+        return server_failure() ? send_outcome::failed : send_outcome::served;
+    case attempt_end::refused:
+        return status() == misdirected ? send_outcome::failed
+                                       : send_outcome::shed;
+    case attempt_end::inputs_gone:
+        return send_outcome::shed;
+    case attempt_end::broken:
+    case attempt_end::unsent:
+        break;
+    }
+    return withdrawn ? send_outcome::withdrawn
+           : silent_ ? send_outcome::silent
+                     : send_outcome::failed;
+}
+
+std::string forward_attempt::text() const
+{
+    static constexpr const char* names[] = {"unsent", "refused", "inputs gone",
+                                            "answered", "broken"};
+    std::string result =
+        server_->id + " " + names[static_cast<std::size_t>(end_)];
+    result += status() == 0 ? "" : " " + std::to_string(status());
+    return result + " " + std::to_string(first_byte_.count()) + " ms";
+}
+
+asio::awaitable<bool> forward_attempt::read_head(milliseconds limit)
+{
+    const time_limit guard(io_, limit,
+                           [this]
+                           {
+                               silent_ = true;
+                               exchange_->abort();
+                           });
+    co_return co_await exchange_->begin();
+}
+
+asio::awaitable<void> forward_attempt::read_whole(bool answer_begun)
+{
+    end_ = attempt_end::broken;
+    while (!exchange_->complete())
+    {
+        if (!co_await exchange_->read_some(body_) ||
+            body_.size() > largest_answer)
+        {
+            co_return;
+        }
+    }
+    const auto& facts = exchange_->facts();
+    const auto code = exchange_->head().result_int();
+    if (facts.proven_not_run)
+    {
+        end_ =
+            code == conflict ? attempt_end::inputs_gone : attempt_end::refused;
+        co_return;
+    }
+    const bool success = code >= 200 && code < 300;
+    // A refusal without proof may have run and must not be passed on as one.
+    const bool sound = !facts.body_is_encoded &&
+                       (!success || facts.signed_by_server) &&
+                       !promises_not_run(code) && !answer_begun;
+    end_ = sound ? attempt_end::answered : attempt_end::broken;
+}
+
+asio::awaitable<void>
+forward_attempt::read_stream(milliseconds limit, stream_forwarder& stream,
+                             const std::function<void()>& on_first)
+{
+    end_ = attempt_end::broken;
+    const bool resumed = stream.begun();
+    bool first = true;
+    std::string pending;
+    while (!exchange_->complete())
+    {
+        bool open = false;
+        {
+            const time_limit guard(io_, limit,
+                                   [this]
+                                   {
+                                       silent_ = true;
+                                       exchange_->abort();
+                                   });
+            open = co_await exchange_->read_some(pending);
+        }
+        if (first && !pending.empty())
+        {
+            first = false;
+            on_first();
+        }
+        const auto passed =
+            co_await stream.pass(exchange_->head(), pending, resumed);
+        caller_gone_ = passed == pass_end::caller_gone;
+        if (passed != pass_end::passed || !open)
+        {
+            co_return;
+        }
+    }
+    // One that ends inside an event is not complete.
+    end_ = pending.empty() ? attempt_end::answered : attempt_end::broken;
+}
+
+bool forward_attempt::is_stream() const
+{
+    const auto& head = exchange_->head();
+    const auto& facts = exchange_->facts();
+    return head.result() == http::status::ok && facts.signed_by_server &&
+           !facts.body_is_encoded &&
+           head[http::field::content_type].starts_with("text/event-stream");
+}
+
+} // namespace mangolink
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "base/socket_address.hpp"
 #include "connection/caller_session.hpp"
+#include "connection/forward_protocol.hpp"
 #include "connection/listening_socket.hpp"
 #include "connection/order_server.hpp"
 #include "connection/peer_beats.hpp"
@@ -84,7 +85,7 @@
       peers_({describe(settings_)}), stages_(io_, settings_, protocol_, state_,
                                              peers_, connections_, metrics_),
       feed_(
-          state_, [this] { stages_.pump_all(); },
+          state_, [this] { stages_.surroundings_changed(); },
           [this](const std::string& id) { connections_.forget(id); }),
       context_{io_,    settings_,    protocol_, metrics_,
                state_, connections_, stages_},
@@ -123,8 +124,8 @@
     orders_ =
         std::make_unique<order_server>(io_, peers_.self().address, stages_);
     beats_ = std::make_unique<peer_beats>(
-        io_, peers_, stages_, settings_.seeds, [this] { stages_.pump_all(); },
-        metrics_);
+        io_, peers_, stages_, settings_.seeds,
+        [this] { stages_.surroundings_changed(); }, metrics_);
 }
 
 bool gateway_server::run()
--- a/src/connection/order_server.cpp
+++ b/src/connection/order_server.cpp
@@ -142,7 +142,7 @@
         else if (const auto message = decode_release(request.body());
                  message && request.target() == release_path)
         {
-            stages_.release_here(message->server, message->handles);
+            stages_.caller().release_here(message->server, message->handles);
         }
         else
         {
@@ -169,7 +169,7 @@
     asio::co_spawn(
         io_, [socket, pending] { return watch(socket, pending); },
         asio::detached);
-    stages_.enqueue(addressed->server, addressed->order);
+    stages_.caller().enqueue(addressed->server, addressed->order);
     co_await pending->wait();
     error_code ignored; // ends the watch; nothing else waits on the socket
     socket->cancel(ignored);
--- /dev/null
+++ b/src/connection/request_check.cpp
@@ -0,0 +1,203 @@
+#include "connection/request_check.hpp"
+
+#include "base/hash.hpp"
+#include "connection/gateway_context.hpp"
+#include "connection/header_rules.hpp"
+#include "connection/stage_dispatcher.hpp"
+#include "roles/gateway_settings.hpp"
+#include "roles/gateway_state.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace mangolink
+{
+namespace
+{
+
+/// When a caller should return while nothing is known, and at the latest.
+constexpr milliseconds return_later{1000};
+constexpr milliseconds return_latest{3000};
+
+/// A request whose stages are expected to take longer than this many times the
+/// route's objective is refused at once: its work would only make others late.
+/// Expectations are means, so some above the objective are still in time.
+constexpr double admitted_lateness = 1.3;
+
+/// Part of the process's memory that bodies of open requests may take; each
+/// is held twice while it is sent.
+constexpr double body_memory = 0.3;
+
+} // namespace
+
+request_check::request_check(gateway_context& context,
+                             const text_request& request,
+                             boot_clock::time_point arrival)
+    : context_(context), request_(request)
+{
+    result_.arrival = arrival;
+    result_.deadline = arrival;
+}
+
+std::optional<refusal> request_check::run()
+{
+    try
+    {
+        result_.facts = context_.protocol.read_request(request_);
+    }
+    catch (const std::invalid_argument& error)
+    {
+        return refusal{http::status::bad_request, error.what(), {}};
+    }
+    if (auto why = check_process())
+    {
+        return why;
+    }
+    if (auto why = check_route())
+    {
+        return why;
+    }
+    if (auto why = check_customer())
+    {
+        return why;
+    }
+    result_.deadline =
+        result_.arrival +
+        std::min(result_.facts.time_left.value_or(result_.route->time_limit),
+                 result_.route->time_limit);
+    choose_service();
+    context_.state.allowance(result_.service).count_request(result_.arrival);
+    return check_capacity();
+}
+
+std::optional<refusal> request_check::check_process() const
+{
+    if (context_.refusing)
+    {
+        return refusal{http::status::service_unavailable, "stopping",
+                       return_soon};
+    }
+    const auto most_bytes = static_cast<std::uint64_t>(
+        body_memory * static_cast<double>(context_.settings.memory_bytes));
+    if (context_.body_bytes > most_bytes)
+    {
+        return refusal{http::status::service_unavailable, "memory",
+                       return_soon};
+    }
+    return std::nullopt;
+}
+
+std::optional<refusal> request_check::check_route()
+{
+    result_.configuration = context_.state.configuration();
+    if (!result_.configuration)
+    {
+        return refusal{http::status::service_unavailable, "no configuration",
+                       return_later};
+    }
+    const std::string_view target(request_.target().data(),
+                                  request_.target().size());
+    result_.route =
+        result_.configuration->find_route(host_of(request_), target);
+    const bool needs_confirmation =
+        result_.route == nullptr || !result_.route->anonymous;
+    if (needs_confirmation &&
+        !context_.state.freshness().keys_trusted(result_.arrival))
+    {
+        return refusal{http::status::service_unavailable,
+                       "configuration not confirmed", return_later};
+    }
+    if (result_.route == nullptr)
+    {
+        return refusal{http::status::not_found, "no route", {}};
+    }
+    return std::nullopt;
+}
+
+std::optional<refusal> request_check::check_customer()
+{
+    if (result_.route->anonymous || !result_.configuration->has_customers())
+    {
+        return std::nullopt;
+    }
+    result_.customer =
+        result_.configuration->find_customer(result_.facts.api_key);
+    if (result_.customer == nullptr)
+    {
+        return refusal{http::status::unauthorized, "unknown key", {}};
+    }
+    return std::nullopt;
+}
+
+std::optional<refusal> request_check::check_capacity() const
+{
+    if (time_left() < least_time)
+    {
+        return refusal{http::status::service_unavailable, "no time left",
+                       return_soon};
+    }
+    if (context_.state.directory().servers(result_.service).empty())
+    {
+        return refusal{http::status::service_unavailable, "no server",
+                       return_soon};
+    }
+    return check_stage_time();
+}
+
+std::optional<refusal> request_check::check_stage_time() const
+{
+    milliseconds expected{0};
+    const auto& stages = result_.route->stages;
+    const auto counted =
+        std::min(stages.size(), result_.facts.piece_counts.size());
+    for (std::size_t i = 0; i < counted; ++i)
+    {
+        if (result_.facts.piece_counts[i] > 0)
+        {
+            stage_demand demand;
+            demand.pieces = result_.facts.piece_counts[i];
+            demand.result_bytes = stages[i].result_bytes;
+            expected +=
+                context_.stages.expected_time(stages[i].service, demand);
+        }
+    }
+    const auto useful = std::min(
+        time_left(), std::chrono::duration_cast<milliseconds>(
+                         result_.route->latency_objective * admitted_lateness));
+    if (stages.empty() || expected + engine_time <= useful)
+    {
+        return std::nullopt;
+    }
+    return refusal{
+        http::status::service_unavailable,
+        "stages would take " + std::to_string(expected.count()) + " ms",
+        std::clamp(expected - time_left() / 2, return_soon, return_latest)};
+}
+
+void request_check::choose_service()
+{
+    std::uint64_t total = 0;
+    for (const auto& target : result_.route->targets)
+    {
+        total += target.weight;
+    }
+    // The caller's id is random, and new for each of its attempts.
+    std::uint64_t draw = total == 0 ? 0 : stable_hash(result_.facts.id) % total;
+    for (const auto& target : result_.route->targets)
+    {
+        result_.service = target.service;
+        if (draw < target.weight)
+        {
+            return;
+        }
+        draw -= target.weight;
+    }
+}
+
+milliseconds request_check::time_left() const
+{
+    return std::chrono::duration_cast<milliseconds>(result_.deadline -
+                                                    boot_clock::now());
+}
+
+} // namespace mangolink
--- a/src/request/stage_plan.cpp
+++ b/src/request/stage_plan.cpp
@@ -92,7 +92,10 @@
         }
         for (const auto& row : pieces_[stage])
         {
-            results.push_back({row.handle, stages_[stage].result_bytes});
+            if (row.state == piece_state::made)
+            {
+                results.push_back({row.handle, stages_[stage].result_bytes});
+            }
         }
     }
     return results;
--- a/src/roles/gateway_state.cpp
+++ b/src/roles/gateway_state.cpp
@@ -45,6 +45,14 @@
     return true;
 }
 
+const stage_pool_figures*
+gateway_state::stage_figures(const std::string& service) const
+{
+    const auto* found =
+        configuration_ ? configuration_->find_service(service) : nullptr;
+    return found != nullptr && found->pool ? &*found->pool : nullptr;
+}
+
 bool gateway_state::ready(boot_clock::time_point now) const
 {
     return configuration_ && listed_ && freshness_.keys_trusted(now);
--- a/src/roles/gateway_state.hpp
+++ b/src/roles/gateway_state.hpp
@@ -35,6 +35,9 @@
         return configuration_;
     }
 
+    /// Returns the figures of a stage pool; null when there is none.
+    const stage_pool_figures* stage_figures(const std::string& service) const;
+
     /// Returns whether requests with keys can be answered now: the state is
     /// known and fresh.
     bool ready(boot_clock::time_point now) const;
