--- a/tests/platform/stages_test.cpp
+++ b/tests/platform/stages_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(pieces_get_the_results_they_need);
     CPPUNIT_TEST(pieces_of_many_requests_share_calls);
     CPPUNIT_TEST(failed_pieces_are_made_again);
+    CPPUNIT_TEST(a_full_server_is_asked_for_its_room);
     CPPUNIT_TEST(a_process_that_dies_is_replaced);
     CPPUNIT_TEST(a_paused_process_is_replaced);
     CPPUNIT_TEST_SUITE_END();
@@ -146,6 +147,37 @@
                 });
     }
 
+    void a_full_server_is_asked_for_its_room()
+    {
+        platform_site site;
+        prepare(site);
+        auto& first = site.add_pool("encode", "encode-1", milliseconds(10));
+        site.add_pool("rerank", "rerank-1", milliseconds(10));
+        auto& gateway = site.start_gateway();
+        first.set_full(true);
+        std::thread later(
+            [&]
+            {
+                std::this_thread::sleep_for(milliseconds(800));
+                first.set_full(false);
+            });
+        test_caller caller(gateway.callers());
+        const auto answer = caller.ask(staged(site, "r1", "1,1"));
+        later.join();
+        section("the request is served once there is room",
+                [&]
+                {
+                    CPPUNIT_ASSERT(answer);
+                    CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+                });
+        section("its piece was not sent again and again meanwhile",
+                [&]
+                {
+                    // Sent at once it would be sent every ten milliseconds.
+                    CPPUNIT_ASSERT(first.calls().size() <= 20);
+                });
+    }
+
     void a_process_that_dies_is_replaced()
     {
         replace_with([](bench::child_process& process)
--- a/tests/standins/pool_standin.cpp
+++ b/tests/standins/pool_standin.cpp
@@ -58,6 +58,14 @@
         reply(scripted_answer::of(200, ""));
         return;
     }
+    if (request.target() == "/v1/report")
+    {
+        const json report{
+            {"waiting", 0}, {"busy", false}, {"availableMb", full_ ? 0 : 10}};
+        reply(scripted_answer::of(200, report.dump(),
+                                  {"Content-Type: application/json"}));
+        return;
+    }
     if (shed_ > 0)
     {
         --shed_;
@@ -89,6 +97,11 @@
                          row.value("key", std::string()),
                          row.value("inputHandles", std::vector<std::string>())};
         seen_.push_back(piece);
+        if (full_)
+        {
+            ends.push_back({{"reason", "room"}});
+            continue;
+        }
         if (fail_ > 0)
         {
             --fail_;
--- a/tests/standins/pool_standin.hpp
+++ b/tests/standins/pool_standin.hpp
@@ -35,6 +35,9 @@
     /// Makes the next pieces end with a reason in place of a result.
     void fail_next(unsigned pieces, const std::string& reason);
 
+    /// Makes every piece find no room, and the report tell so.
+    void set_full(bool full) { full_ = full; }
+
     std::vector<seen_piece> seen() const;
 
     /// Returns the pieces of each call, in order.
@@ -60,6 +63,7 @@
     unsigned made_ = 0;
     std::atomic<unsigned> shed_{0};
     std::atomic<unsigned> hang_{0};
+    std::atomic<bool> full_{false};
     unsigned fail_ = 0;
     std::string fail_reason_;
     standin_server server_; ///< last: its thread uses the rest
--- a/tests/unit/stage_queue_test.cpp
+++ b/tests/unit/stage_queue_test.cpp
@@ -63,6 +63,8 @@
     CPPUNIT_TEST(calls_collect_what_comes_meanwhile);
     CPPUNIT_TEST(what_can_be_in_time_goes_first);
     CPPUNIT_TEST(no_piece_is_sent_without_room);
+    CPPUNIT_TEST(room_that_others_fill_comes_back);
+    CPPUNIT_TEST(late_requests_yield_to_full_batches);
     CPPUNIT_TEST(failed_servers_are_left_alone);
     CPPUNIT_TEST(a_burst_is_served_by_worth_of_time);
     CPPUNIT_TEST(work_leaves_a_zone_only_when_it_pays);
@@ -149,6 +151,53 @@
                 });
     }
 
+    void room_that_others_fill_comes_back()
+    {
+        result_room room(10'000, milliseconds(4000));
+        room.keep("own", 1000, now_);
+        room.observe_free(0, now_);
+        section("nothing is free when the server says so", [&]
+                { CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), room.free(now_)); });
+        section("results of others end over a lifetime",
+                [&]
+                {
+                    const auto half = room.free(now_ + milliseconds(2000));
+                    CPPUNIT_ASSERT(half >= 4400 && half <= 4600);
+                    CPPUNIT_ASSERT_EQUAL(std::uint64_t(10'000),
+                                         room.free(now_ + milliseconds(4000)));
+                });
+        section("a later report replaces the earlier",
+                [&]
+                {
+                    room.observe_free(8000, now_ + milliseconds(4000));
+                    CPPUNIT_ASSERT_EQUAL(std::uint64_t(8000),
+                                         room.free(now_ + milliseconds(4000)));
+                });
+    }
+
+    void late_requests_yield_to_full_batches()
+    {
+        stage_queue queue(figures());
+        const auto early = order(client_, 2, now_ - milliseconds(10));
+        early->stages_after = 1;
+        queue.add(early);
+        queue.add(order(client_, 1, now_ - milliseconds(10)));
+        section("not while the server has time for them",
+                [&] { CPPUNIT_ASSERT(queue.take_expired(now_).empty()); });
+        queue.add(order(client_, 4, now_ + milliseconds(500)));
+        section("those far from their end are dropped",
+                [&] {
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(2),
+                                         queue.take_expired(now_).size());
+                });
+        section("one in its last stage is made when there is time",
+                [&]
+                {
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(4), begin(queue));
+                    CPPUNIT_ASSERT_EQUAL(1U, queue.outlook(now_).pieces);
+                });
+    }
+
     void failed_servers_are_left_alone()
     {
         stage_queue queue(figures());
