Drop pending work of a gateway before what it refers to is gone

Cause (ASan, platform tests, first run): coroutines that still waited when the process ended were destroyed with the context, after the objects they hold on to; a stand-in's waiting watches outlived its context the same way.

Change: closing_context drops what waits while everything still exists.

--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -113,7 +113,10 @@
     asio::co_spawn(io_, write_log(), asio::detached);
 }
 
-gateway_server::~gateway_server() = default;
+gateway_server::~gateway_server()
+{
+    io_.drop_pending();
+}
 
 void gateway_server::open_to_peers()
 {
--- a/src/connection/gateway_server.hpp
+++ b/src/connection/gateway_server.hpp
@@ -4,6 +4,7 @@
 #include "base/metrics.hpp"
 #include "connection/asio_types.hpp"
 #include "connection/backend_pool.hpp"
+#include "connection/closing_context.hpp"
 #include "connection/gateway_context.hpp"
 #include "connection/stage_dispatcher.hpp"
 #include "process/peer_directory.hpp"
@@ -68,7 +69,7 @@
     void open_to_peers();
     void reload();
 
-    asio::io_context io_{1};
+    closing_context io_{1};
     gateway_settings settings_;
     settings_source reload_;
     const forward_protocol& protocol_;
--- a/tests/standins/standin_server.cpp
+++ b/tests/standins/standin_server.cpp
@@ -36,9 +36,18 @@
 }
 
 standin_server::~standin_server()
+{
+    stop();
+    io_.drop_pending();
+}
+
+void standin_server::stop()
 {
     io_.stop();
-    thread_.join();
+    if (thread_.joinable())
+    {
+        thread_.join();
+    }
 }
 
 void standin_server::post(std::function<void()> work, milliseconds after)
--- a/tests/standins/standin_server.hpp
+++ b/tests/standins/standin_server.hpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 #include "base/socket_address.hpp"
 #include "connection/asio_types.hpp"
+#include "connection/closing_context.hpp"
 
 #include <atomic>
 #include <functional>
@@ -65,6 +66,9 @@
     /// being held back.
     std::size_t abandoned() const { return abandoned_; }
 
+    /// Ends the thread; nothing is answered any more.
+    void stop();
+
     /// Stops to accept and closes every connection; the port stays taken.
     void set_deaf(bool deaf);
 
@@ -74,7 +78,7 @@
     asio::awaitable<bool> send(std::shared_ptr<tcp::socket> socket,
                                scripted_answer answer);
 
-    asio::io_context io_{1};
+    closing_context io_{1};
     handler handle_;
     tcp::acceptor acceptor_;
     socket_address address_;
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -42,6 +42,13 @@
     server_.post([this] { tick(); }, watch_check);
 }
 
+store_standin::~store_standin()
+{
+    // Replies that wait refer to the server.
+    server_.stop();
+    watches_.clear();
+}
+
 void store_standin::put(const std::string& key, const std::string& value)
 {
     const std::lock_guard lock(mutex_);
--- a/tests/standins/store_standin.hpp
+++ b/tests/standins/store_standin.hpp
@@ -27,6 +27,10 @@
 {
 public:
     store_standin();
+    ~store_standin();
+
+    store_standin(const store_standin&) = delete;
+    store_standin& operator=(const store_standin&) = delete;
 
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
