Forget servers that are gone; show processor time

Servers mostly return under new ids, so rows of stage servers, judgements and outlooks of gone ones would grow for as long as a process lives. They are dropped once nothing refers to them.

--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -15,6 +15,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <ctime>
 #include <iostream>
 #include <stdexcept>
 
@@ -86,7 +87,7 @@
                                              peers_, connections_, metrics_),
       feed_(
           state_, [this] { stages_.surroundings_changed(); },
-          [this](const std::string& id) { connections_.forget(id); }),
+          [this](const std::string& id) { forget(id); }),
       context_{io_,    settings_,    protocol_, metrics_,
                state_, connections_, stages_},
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
@@ -104,6 +105,9 @@
     open_to_peers();
     metrics_.gauge("mangolink_open_requests", [this]
                    { return static_cast<double>(context_.open_requests); });
+    metrics_.gauge(
+        "mangolink_processor_seconds",
+        [] { return static_cast<double>(std::clock()) / CLOCKS_PER_SEC; });
     metrics_.gauge("mangolink_open_callers", [this]
                    { return static_cast<double>(context_.open_callers); });
     metrics_.gauge("mangolink_idle_backend_connections",
@@ -158,6 +162,13 @@
     return std::max(least, service->max_connections / processes);
 }
 
+void gateway_server::forget(const std::string& server)
+{
+    connections_.forget(server);
+    state_.balancer().forget(server);
+    stages_.forget(server);
+}
+
 void gateway_server::accept_callers()
 {
     callers_ = open_listener(io_, settings_.callers);
--- a/src/connection/gateway_server.hpp
+++ b/src/connection/gateway_server.hpp
@@ -52,6 +52,7 @@
     using handler = std::function<text_response(const text_request&)>;
 
     std::size_t connection_share(const backend_server& server);
+    void forget(const std::string& server);
     void accept_callers();
     void close_listener();
     asio::awaitable<void> accept_loop(std::shared_ptr<tcp::acceptor> acceptor);
--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -94,6 +94,9 @@
 
 void stage_caller::servers_changed()
 {
+    // Servers mostly return under new ids, so rows that rest are dropped.
+    absl::erase_if(rows_,
+                   [](const auto& pair) { return pair.second->rests(); });
     for (auto& [id, row] : rows_)
     {
         row->server = state_.directory().find(id);
@@ -101,6 +104,12 @@
     }
 }
 
+bool stage_caller::server_row::rests() const
+{
+    return !server && !queue.busy() && !pump_pending && !free_pending &&
+           !room_asked && !wake && users.use_count() == 1;
+}
+
 bool stage_caller::busy() const
 {
     return std::any_of(rows_.begin(), rows_.end(),
@@ -122,8 +131,7 @@
     {
         return nullptr;
     }
-    auto row = std::make_unique<server_row>(
-        server_row{facts, stage_queue(*figures), {}, false, false, false, {}});
+    auto row = std::make_unique<server_row>(facts, *figures);
     return rows_.emplace(server, std::move(row)).first->second.get();
 }
 
@@ -193,6 +201,7 @@
         {
             if (!cancelled)
             {
+                row.wake.reset();
                 pump_soon(row);
             }
         });
@@ -214,6 +223,7 @@
 asio::awaitable<void> stage_caller::make_call(server_row& row,
                                               std::vector<waiting_piece> pieces)
 {
+    const auto user = row.users;
     const auto server = row.server;
     const auto began = boot_clock::now();
     const auto limit = row.queue.call_limit(pieces.size());
@@ -358,6 +368,7 @@
 
 asio::awaitable<void> stage_caller::free_results(server_row& row)
 {
+    const auto user = row.users;
     co_await pause(io_, free_delay);
     row.free_pending = false;
     const auto handles = std::exchange(row.to_free, {});
@@ -382,6 +393,7 @@
 
 asio::awaitable<void> stage_caller::ask_room(server_row& row)
 {
+    const auto user = row.users;
     co_await pause(io_, room_question_delay);
     row.room_asked = false;
     const auto server = row.server;
--- a/src/connection/stage_caller.hpp
+++ b/src/connection/stage_caller.hpp
@@ -69,13 +69,23 @@
 private:
     struct server_row final
     {
+        server_row(std::shared_ptr<const backend_server> facts,
+                   const stage_pool_figures& figures)
+            : server(std::move(facts)), queue(figures)
+        {
+        }
         std::shared_ptr<const backend_server> server; ///< null: gone
         stage_queue queue;
         std::vector<std::string> to_free;
         bool pump_pending = false;
         bool free_pending = false;
         bool room_asked = false;
+        /// Held by each coroutine that refers to the row.
+        std::shared_ptr<int> users = std::make_shared<int>();
         std::optional<asio::steady_timer> wake; ///< at the end of avoidance
+
+        /// Returns whether the server is gone and nothing refers to the row.
+        bool rests() const;
     };
     struct call_result final
     {
--- a/src/connection/stage_dispatcher.hpp
+++ b/src/connection/stage_dispatcher.hpp
@@ -58,6 +58,9 @@
     /// for.
     std::vector<named_outlook> outlooks();
 
+    /// Forgets what was told of a server that is gone.
+    void forget(const std::string& server) { router_.forget(server); }
+
     /// Takes a change of the servers or of the other processes.
     void surroundings_changed();
 
