--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -40,7 +40,7 @@
 stage_caller::~stage_caller() = default;
 
 void stage_caller::enqueue(const std::string& server,
-                           std::shared_ptr<const stage_order> order)
+                           const std::shared_ptr<const stage_order>& order)
 {
     server_row* row = row_of(server);
     if (row == nullptr)
@@ -50,7 +50,7 @@
         {
             pieces.push_back({order, piece});
         }
-        send_back(std::move(pieces), stage_item_end::unsent);
+        send_back(pieces, stage_item_end::unsent);
         return;
     }
     row->queue.add(order);
@@ -207,7 +207,7 @@
         });
 }
 
-void stage_caller::send_back(std::vector<waiting_piece> pieces,
+void stage_caller::send_back(const std::vector<waiting_piece>& pieces,
                              stage_item_end end)
 {
     for (const auto& row : pieces)
--- a/src/connection/stage_caller.hpp
+++ b/src/connection/stage_caller.hpp
@@ -51,7 +51,7 @@
 
     /// Queues pieces for a server's next call.
     void enqueue(const std::string& server,
-                 std::shared_ptr<const stage_order> order);
+                 const std::shared_ptr<const stage_order>& order);
 
     /// Gives results up at a server, soon and many at a time.
     void release_here(const std::string& server,
@@ -101,7 +101,7 @@
     void pump(server_row& row);
     bool another_usable(const backend_server& server) const;
     void pump_after(server_row& row, milliseconds time);
-    static void send_back(std::vector<waiting_piece> pieces,
+    static void send_back(const std::vector<waiting_piece>& pieces,
                           stage_item_end end);
     asio::awaitable<void> make_call(server_row& row,
                                     std::vector<waiting_piece> pieces);
--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -87,7 +87,7 @@
     const peer* maker = peers_.responsible(server->id, server->zone);
     if (maker == nullptr)
     {
-        caller_.enqueue(server->id, std::move(order));
+        caller_.enqueue(server->id, order);
         return;
     }
     router_.count_sent(server->id, order->pieces.size());
--- a/src/request/direct_balancer.cpp
+++ b/src/request/direct_balancer.cpp
@@ -3,7 +3,7 @@
 #include "base/hash.hpp"
 
 #include <algorithm>
-#include <cmath>
+#include <iterator>
 
 namespace mangolink
 {
@@ -55,69 +55,17 @@
 direct_balancer::choose(const std::vector<server_pointer>& servers,
                         const server_wish& wish, boot_clock::time_point now)
 {
-    std::vector<server_pointer> candidates;
-    for (const auto& server : servers)
-    {
-        if (usable(*server, wish, now))
-        {
-            candidates.push_back(server);
-        }
-    }
-    // A pool whose servers are all set aside is used as if none were.
-    const bool desperate = candidates.empty();
-    for (const auto& server : servers)
-    {
-        const auto& excluded = wish.excluded;
-        if (desperate && std::find(excluded.begin(), excluded.end(),
-                                   server->id) == excluded.end())
-        {
-            candidates.push_back(server);
-        }
-    }
+    const auto candidates = candidates_of(servers, wish, now);
     if (candidates.empty())
     {
         return nullptr;
     }
-    double total = 0;
-    double times = 0;
-    double timed = 0;
-    for (const auto& server : candidates)
-    {
-        const auto* row = row_of(server->id);
-        total += row == nullptr ? 0 : row->in_flight;
-        if (row != nullptr && row->first_byte_ms > 0)
-        {
-            times += row->first_byte_ms;
-            timed += 1;
-        }
-    }
-    const double mean = total / static_cast<double>(candidates.size());
-    const double typical = timed > 0 ? times / timed : 0;
-    // Within each zone the server with the highest hash is the one that
-    // requests with this prefix share.
-    absl::flat_hash_map<std::string, const backend_server*> preferred;
-    const backend_server* first = nullptr;
-    const auto rank = [&wish](const backend_server& server)
-    { return stable_hash(server.id, wish.affinity); };
-    for (const auto& server : candidates)
-    {
-        for (auto* best : {&preferred[server->zone], &first})
-        {
-            if (*best == nullptr || rank(*server) > rank(**best))
-            {
-                *best = server.get();
-            }
-        }
-    }
+    const pool_view pool = view_of(candidates, wish);
     std::vector<double> prices;
+    prices.reserve(candidates.size());
     for (const auto& server : candidates)
     {
-        const double affinity = wish.affinity == 0      ? 0
-                                : first == server.get() ? 1
-                                : preferred[server->zone] == server.get()
-                                    ? zone_affinity
-                                    : 0;
-        prices.push_back(cost(*server, wish, typical, mean, affinity));
+        prices.push_back(cost(*server, wish, pool));
     }
     const double least = *std::min_element(prices.begin(), prices.end());
     server_pointer chosen;
@@ -140,6 +88,61 @@
     return chosen;
 }
 
+std::vector<direct_balancer::server_pointer>
+direct_balancer::candidates_of(const std::vector<server_pointer>& servers,
+                               const server_wish& wish,
+                               boot_clock::time_point now) const
+{
+    const auto excluded = [&wish](const server_pointer& server)
+    {
+        const auto& ids = wish.excluded;
+        return std::find(ids.begin(), ids.end(), server->id) != ids.end();
+    };
+    std::vector<server_pointer> candidates;
+    std::copy_if(servers.begin(), servers.end(), std::back_inserter(candidates),
+                 [&](const server_pointer& server)
+                 { return !excluded(server) && !set_aside(server->id, now); });
+    if (candidates.empty())
+    {
+        // A pool whose servers are all set aside is used as if none were.
+        std::copy_if(
+            servers.begin(), servers.end(), std::back_inserter(candidates),
+            [&](const server_pointer& server) { return !excluded(server); });
+    }
+    return candidates;
+}
+
+direct_balancer::pool_view
+direct_balancer::view_of(const std::vector<server_pointer>& candidates,
+                         const server_wish& wish) const
+{
+    pool_view view;
+    double times = 0;
+    double timed = 0;
+    const auto rank = [&wish](const backend_server& server)
+    { return stable_hash(server.id, wish.affinity); };
+    for (const auto& server : candidates)
+    {
+        const auto* row = row_of(server->id);
+        view.mean_in_flight += row == nullptr ? 0 : row->in_flight;
+        if (row != nullptr && row->first_byte_ms > 0)
+        {
+            times += row->first_byte_ms;
+            timed += 1;
+        }
+        for (auto* best : {&view.shared_in_zone[server->zone], &view.shared})
+        {
+            if (*best == nullptr || rank(*server) > rank(**best))
+            {
+                *best = server.get();
+            }
+        }
+    }
+    view.mean_in_flight /= static_cast<double>(candidates.size());
+    view.typical_ms = timed > 0 ? times / timed : 0;
+    return view;
+}
+
 milliseconds direct_balancer::affinity_gain(const server_wish& wish)
 {
     return milliseconds(
@@ -210,42 +213,47 @@
     return found == rows_.end() ? nullptr : &found->second;
 }
 
-bool direct_balancer::usable(const backend_server& server,
-                             const server_wish& wish,
-                             boot_clock::time_point now) const
-{
-    return !set_aside(server.id, now) &&
-           std::find(wish.excluded.begin(), wish.excluded.end(), server.id) ==
-               wish.excluded.end();
-}
-
 double direct_balancer::cost(const backend_server& server,
-                             const server_wish& wish, double typical_ms,
-                             double mean_in_flight, double affinity) const
+                             const server_wish& wish,
+                             const pool_view& pool) const
 {
     const auto* row = row_of(server.id);
     const double in_flight = row == nullptr ? 0 : row->in_flight;
     const double known = row == nullptr || row->first_byte_ms == 0
-                             ? typical_ms
+                             ? pool.typical_ms
                              : row->first_byte_ms;
     double result = known * (1 + in_flight / std::max(1U, server.slots)) +
                     in_flight * in_flight_cost_ms + distance_ms(server.zone);
     if (in_flight <=
-        mean_in_flight * affinity_load_factor + affinity_load_reserve)
+        pool.mean_in_flight * affinity_load_factor + affinity_load_reserve)
     {
-        result -= affinity * token_gain_ms * wish.shared_tokens;
+        result -=
+            affinity(server, wish, pool) * token_gain_ms * wish.shared_tokens;
     }
     for (const auto& [zone, bytes] : wish.bytes_in_zone)
     {
         constexpr double megabyte = 1e6;
-        result +=
-            zone == server.zone
-                ? 0
-                : megabyte_cost_ms * static_cast<double>(bytes) / megabyte;
+        const double price =
+            megabyte_cost_ms * static_cast<double>(bytes) / megabyte;
+        result += zone == server.zone ? 0 : price;
     }
     return result;
 }
 
+double direct_balancer::affinity(const backend_server& server,
+                                 const server_wish& wish, const pool_view& pool)
+{
+    if (wish.affinity == 0)
+    {
+        return 0;
+    }
+    if (pool.shared == &server)
+    {
+        return 1;
+    }
+    return pool.shared_in_zone.at(server.zone) == &server ? zone_affinity : 0;
+}
+
 double direct_balancer::distance_ms(const std::string& zone) const
 {
     static constexpr double costs[] = {0, zone_cost_ms, region_cost_ms};
--- a/src/request/direct_balancer.hpp
+++ b/src/request/direct_balancer.hpp
@@ -83,12 +83,27 @@
         std::uint64_t last_turn = 0; ///< grows with each choice of any server
     };
 
+    /// What a choice compares servers with.
+    struct pool_view final
+    {
+        double typical_ms = 0; ///< to the first byte
+        double mean_in_flight = 0;
+        /// Servers that requests with the wish's prefix share: of all, and of
+        /// each zone. The highest hash wins, so every process finds the same.
+        const backend_server* shared = nullptr;
+        absl::flat_hash_map<std::string, const backend_server*> shared_in_zone;
+    };
+
     const server_row* row_of(const std::string& server) const;
-    bool usable(const backend_server& server, const server_wish& wish,
-                boot_clock::time_point now) const;
+    std::vector<server_pointer>
+    candidates_of(const std::vector<server_pointer>& servers,
+                  const server_wish& wish, boot_clock::time_point now) const;
+    pool_view view_of(const std::vector<server_pointer>& candidates,
+                      const server_wish& wish) const;
     double cost(const backend_server& server, const server_wish& wish,
-                double typical_ms, double mean_in_flight,
-                double affinity) const;
+                const pool_view& pool) const;
+    static double affinity(const backend_server& server,
+                           const server_wish& wish, const pool_view& pool);
     double distance_ms(const std::string& zone) const;
 
     placement place_;
--- a/tests/platform/stop_test.cpp
+++ b/tests/platform/stop_test.cpp
@@ -74,6 +74,7 @@
         server.set_delay(milliseconds(900));
         std::vector<std::unique_ptr<test_caller>> kept;
         constexpr int callers = 12;
+        kept.reserve(callers);
         for (int i = 0; i < callers; ++i)
         {
             kept.push_back(std::make_unique<test_caller>(gateway.callers()));
@@ -81,6 +82,7 @@
         gateway.process().signal(SIGTERM);
         // One request each 300 ms, until long after the stop began.
         std::vector<std::thread> threads;
+        threads.reserve(callers);
         std::atomic<int> served{0};
         std::atomic<int> refused{0};
         std::atomic<int> unread{0};
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -19,9 +19,9 @@
 }
 
 backend_standin::backend_standin(std::string id)
-    : id_(std::move(id)),
-      server_([this](const text_request& request, standin_server::reply reply)
-              { handle(request, std::move(reply)); })
+    : id_(std::move(id)), server_([this](const text_request& request,
+                                         const standin_server::reply& reply)
+                                  { handle(request, reply); })
 {
 }
 
@@ -60,7 +60,7 @@
 }
 
 void backend_standin::handle(const text_request& request,
-                             standin_server::reply reply)
+                             const standin_server::reply& reply)
 {
     const std::lock_guard lock(mutex_);
     seen_request row;
--- a/tests/standins/backend_standin.hpp
+++ b/tests/standins/backend_standin.hpp
@@ -73,7 +73,8 @@
     standin_server& server() { return server_; }
 
 private:
-    void handle(const text_request& request, standin_server::reply reply);
+    void handle(const text_request& request,
+                const standin_server::reply& reply);
     scripted_answer answer(const text_request& request, backend_fault fault);
     scripted_answer stream(const text_request& request);
     std::vector<std::string> answer_headers(const std::string& request) const;
--- a/tests/standins/pool_standin.cpp
+++ b/tests/standins/pool_standin.cpp
@@ -9,8 +9,9 @@
 
 pool_standin::pool_standin(std::string id, milliseconds call_time)
     : id_(std::move(id)), call_time_(call_time),
-      server_([this](const text_request& request, standin_server::reply reply)
-              { handle(request, std::move(reply)); })
+      server_([this](const text_request& request,
+                     const standin_server::reply& reply)
+              { handle(request, reply); })
 {
 }
 
@@ -40,7 +41,7 @@
 }
 
 void pool_standin::handle(const text_request& request,
-                          standin_server::reply reply)
+                          const standin_server::reply& reply)
 {
     if (request["X-Expect-Instance"] != id_)
     {
--- a/tests/standins/pool_standin.hpp
+++ b/tests/standins/pool_standin.hpp
@@ -51,7 +51,8 @@
     standin_server& server() { return server_; }
 
 private:
-    void handle(const text_request& request, standin_server::reply reply);
+    void handle(const text_request& request,
+                const standin_server::reply& reply);
     scripted_answer make(const std::string& body);
 
     std::string id_;
