--- a/src/connection/backend_pool.cpp
+++ b/src/connection/backend_pool.cpp
@@ -47,7 +47,6 @@
         {
             reused_.add();
             result.connection = last.connection;
-            result.reused = true;
             co_return result;
         }
     }
@@ -99,17 +98,16 @@
 
 void backend_pool::close_idle(boot_clock::time_point now)
 {
-    for (auto& [server, list] : idle_)
-    {
-        std::erase_if(list, [now](const idle_connection& row)
-                      { return row.until <= now; });
-    }
-}
-
-std::size_t backend_pool::open(const std::string& server) const
-{
-    const auto found = open_.find(server);
-    return found == open_.end() ? 0 : *found->second;
+    // Servers without idle connections leave the map: releases after
+    // forget() may have put them there again.
+    absl::erase_if(idle_,
+                   [now](auto& row)
+                   {
+                       std::erase_if(row.second,
+                                     [now](const idle_connection& idle)
+                                     { return idle.until <= now; });
+                       return row.second.empty();
+                   });
 }
 
 std::size_t backend_pool::idle() const
--- a/src/connection/backend_pool.hpp
+++ b/src/connection/backend_pool.hpp
@@ -35,7 +35,6 @@
     struct lease final
     {
         connection_pointer connection; ///< null when none could be had
-        bool reused = false;
         error_code error;
     };
 
@@ -63,9 +62,6 @@
 
     std::size_t idle() const;
 
-    /// Returns the open connections of a server, idle ones included.
-    std::size_t open(const std::string& server) const;
-
 private:
     struct idle_connection final
     {
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -1,21 +1,19 @@
 #include "connection/forward_run.hpp"
 
-#include "base/log.hpp"
-#include "base/metrics.hpp"
-#include "connection/backend_connection.hpp"
 #include "connection/backend_exchange.hpp"
 #include "connection/backend_pool.hpp"
 #include "connection/caller_channel.hpp"
 #include "connection/gateway_context.hpp"
 #include "connection/header_rules.hpp"
 #include "connection/request_check.hpp"
+#include "connection/request_record.hpp"
 #include "connection/request_stages.hpp"
-#include "connection/stage_dispatcher.hpp"
 #include "connection/time_limit.hpp"
 #include "roles/gateway_settings.hpp"
 #include "roles/gateway_state.hpp"
 
 #include <absl/strings/str_format.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 
@@ -45,11 +43,6 @@
 /// this many times the longest pause allowed.
 constexpr int silent_gaps = 3;
 
-std::string text_of(milliseconds value)
-{
-    return std::to_string(value.count());
-}
-
 } // namespace
 
 forward_run::forward_run(gateway_context& context, caller_channel& channel,
@@ -458,53 +451,16 @@
     channel_.cut();
 }
 
-void forward_run::end(unsigned status, const std::string& reason)
+void forward_run::end(unsigned status, std::string reason)
 {
     ended_ = true;
-    const auto took = std::chrono::duration_cast<milliseconds>(
-        boot_clock::now() - accepted_.arrival);
-    const std::string route =
-        accepted_.route == nullptr ? "" : accepted_.route->name;
-    const std::string label = "route=\"" + route + "\"";
-    context_.metrics
-        .counter("mangolink_requests_total",
-                 label + ",status=\"" + std::to_string(status) + "\"")
-        .add();
-    context_.metrics.histogram("mangolink_request_seconds", label).add(took);
-    if (log_enabled(log_level::notice))
-    {
-        log_end(status, reason, took);
-    }
-}
-
-void forward_run::log_end(unsigned status, const std::string& reason,
-                          milliseconds took) const
-{
-    std::string attempts;
-    for (const auto& row : history_)
-    {
-        attempts += attempts.empty() ? "" : "; ";
-        attempts += row;
-    }
-    const auto age = context_.state.freshness().age(boot_clock::now());
-    const auto allowed = std::chrono::duration_cast<milliseconds>(
-        accepted_.deadline - accepted_.arrival);
-    log_notice(
-        "request", "Ended.",
-        {{"id", accepted_.facts.id},
-         {"route", accepted_.route == nullptr ? "" : accepted_.route->name},
-         {"status", std::to_string(status)},
-         {"reason", reason},
-         {"took_ms", text_of(took)},
-         {"stages_ms", stages_ ? text_of(stages_->time()) : ""},
-         {"deadline_ms", text_of(allowed)},
-         {"service", accepted_.service},
-         {"attempts", attempts},
-         {"configuration",
-          accepted_.configuration
-              ? std::to_string(accepted_.configuration->version())
-              : "none"},
-         {"confirmed_ms_ago", age ? text_of(*age) : "never"}});
+    request_end row;
+    row.status = status;
+    row.reason = std::move(reason);
+    row.attempts = absl::StrJoin(history_, "; ");
+    row.stages = stages_ ? std::optional(stages_->time()) : std::nullopt;
+    row.confirmed = context_.state.freshness().age(boot_clock::now());
+    record_end(context_.metrics, accepted_, row);
 }
 
 } // namespace mangolink
--- a/src/connection/forward_run.hpp
+++ b/src/connection/forward_run.hpp
@@ -62,9 +62,7 @@
     asio::awaitable<void> refuse(refusal why);
     asio::awaitable<void> fail(std::string reason);
     void cut(const std::string& reason);
-    void end(unsigned status, const std::string& reason);
-    void log_end(unsigned status, const std::string& reason,
-                 milliseconds took) const;
+    void end(unsigned status, std::string reason);
 
     gateway_context& context_;
     caller_channel& channel_;
