Give the stand-in engine a prefix cache and batches

engine_model works on prompt blocks of any size, from text or from the parts that a request names; batching_engine puts it behind a stand-in server, whose answers may now grow while they are sent.

Ruled out: a model of its own for the platform's engines; it would have been the same steps and cache again.

--- a/bench/standins/engine_model.cpp
+++ b/bench/standins/engine_model.cpp
@@ -11,7 +11,6 @@
 {
 
 constexpr std::size_t chars_per_token = 4;
-constexpr std::size_t block_tokens = 16;
 
 } // namespace
 
@@ -47,7 +46,8 @@
     {
         const bool last = row.produced + 1 >= row.sequence.max_tokens;
         result.tokens.push_back({row.sequence.id, row.produced, last,
-                                 row.prompt_tokens, row.cached_tokens});
+                                 row.sequence.prompt_tokens,
+                                 row.cached_tokens});
         ++row.produced;
     }
     std::erase_if(running_, [](const active& row)
@@ -72,48 +72,32 @@
 
 microseconds engine_model::prefill(active& row)
 {
-    const std::string& prompt = row.sequence.prompt;
-    row.prompt_tokens =
-        static_cast<std::uint32_t>(prompt.size() / chars_per_token + 1);
+    const engine_sequence& sequence = row.sequence;
     bool prefix_known = true;
-    for (const std::uint64_t block : blocks_of(prompt))
+    for (const auto& block : sequence.blocks)
     {
         const bool known = touch_block(block);
         prefix_known = prefix_known && known;
-        row.cached_tokens += prefix_known ? block_tokens : 0;
+        row.cached_tokens += prefix_known ? block.tokens : 0;
     }
     return settings_.prefill_per_token *
-           static_cast<std::int64_t>(row.prompt_tokens - row.cached_tokens);
+           static_cast<std::int64_t>(sequence.prompt_tokens -
+                                     row.cached_tokens);
 }
 
-std::vector<std::uint64_t> engine_model::blocks_of(const std::string& prompt)
+std::vector<prompt_block>
+engine_model::export_prefix(std::vector<prompt_block> blocks) const
 {
-    constexpr std::size_t block_chars = block_tokens * chars_per_token;
-    std::vector<std::uint64_t> blocks;
-    std::uint64_t prefix = 0;
-    for (std::size_t at = 0; at + block_chars <= prompt.size();
-         at += block_chars)
-    {
-        prefix = stable_hash({prompt.data() + at, block_chars}, prefix);
-        blocks.push_back(prefix);
-    }
-    return blocks;
-}
-
-std::vector<std::uint64_t>
-engine_model::export_prefix(const std::string& prompt) const
-{
-    std::vector<std::uint64_t> blocks = blocks_of(prompt);
     const auto unknown = std::find_if(blocks.begin(), blocks.end(),
-                                      [this](std::uint64_t block)
-                                      { return !cache_.contains(block); });
+                                      [this](const prompt_block& block)
+                                      { return !cache_.contains(block.id); });
     blocks.erase(unknown, blocks.end());
     return blocks;
 }
 
-void engine_model::import_blocks(const std::vector<std::uint64_t>& blocks)
+void engine_model::import_blocks(const std::vector<prompt_block>& blocks)
 {
-    for (const std::uint64_t block : blocks)
+    for (const auto& block : blocks)
     {
         touch_block(block);
     }
@@ -124,9 +108,9 @@
     return std::exchange(changes_, {});
 }
 
-bool engine_model::touch_block(std::uint64_t block)
+bool engine_model::touch_block(const prompt_block& block)
 {
-    const auto found = cache_.find(block);
+    const auto found = cache_.find(block.id);
     const bool known = found != cache_.end();
     if (known)
     {
@@ -134,17 +118,39 @@
     }
     else
     {
-        changes_.push_back({block, true});
+        changes_.push_back({block.id, true});
+        cached_ += block.tokens;
     }
     cache_order_.push_back(block);
-    cache_[block] = std::prev(cache_order_.end());
-    if (cache_order_.size() > settings_.cache_blocks)
+    cache_[block.id] = std::prev(cache_order_.end());
+    while (cached_ > settings_.cache_tokens)
     {
-        changes_.push_back({cache_order_.front(), false});
-        cache_.erase(cache_order_.front());
+        const prompt_block& oldest = cache_order_.front();
+        changes_.push_back({oldest.id, false});
+        cached_ -= oldest.tokens;
+        cache_.erase(oldest.id);
         cache_order_.pop_front();
     }
     return known;
 }
 
+std::vector<prompt_block> text_blocks(const std::string& prompt)
+{
+    constexpr std::size_t block_chars = text_block_tokens * chars_per_token;
+    std::vector<prompt_block> blocks;
+    std::uint64_t prefix = 0;
+    for (std::size_t at = 0; at + block_chars <= prompt.size();
+         at += block_chars)
+    {
+        prefix = stable_hash({prompt.data() + at, block_chars}, prefix);
+        blocks.push_back({prefix, text_block_tokens});
+    }
+    return blocks;
+}
+
+std::uint32_t text_tokens(const std::string& prompt)
+{
+    return static_cast<std::uint32_t>(prompt.size() / chars_per_token + 1);
+}
+
 } // namespace mangolink::bench
--- a/bench/standins/engine_server.cpp
+++ b/bench/standins/engine_server.cpp
@@ -107,13 +107,22 @@
     }
     if (request.path == "/v1/kv/export")
     {
-        const auto blocks = model_.export_prefix(body.value("prompt", ""));
-        return {200, {}, json{{"blocks", blocks}}.dump()};
+        auto ids = json::array();
+        for (const auto& block :
+             model_.export_prefix(text_blocks(body.value("prompt", ""))))
+        {
+            ids.push_back(block.id);
+        }
+        return {200, {}, json{{"blocks", ids}}.dump()};
     }
     if (request.path == "/v1/kv/import")
     {
-        model_.import_blocks(
-            body.value("blocks", std::vector<std::uint64_t>()));
+        std::vector<prompt_block> blocks;
+        for (const std::uint64_t id : body.value("blocks", json::array()))
+        {
+            blocks.push_back({id, text_block_tokens});
+        }
+        model_.import_blocks(blocks);
         return {200, {}, "{}"};
     }
     if (request.path == "/v1/cancel")
@@ -162,8 +171,10 @@
     const std::uint64_t id = next_id_++;
     streams_[id] = {exchange, false,
                     std::string(request.header("Mangolink-Request-Id"))};
-    model_.add({id, body.value("prompt", ""), body.value("max_tokens", 16U),
-                body.value("priority", 5U), body.value("resume_from", 0U)});
+    const std::string prompt = body.value("prompt", "");
+    model_.add({id, text_blocks(prompt), text_tokens(prompt),
+                body.value("max_tokens", 16U), body.value("priority", 5U),
+                body.value("resume_from", 0U)});
     exchange->when_caller_gone(
         [this, id]
         {
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -12,12 +12,6 @@
     return "answer of " + server + " to " + request;
 }
 
-std::string event_text(unsigned number)
-{
-    return "id: " + std::to_string(number) + "\ndata: part " +
-           std::to_string(number) + "\n\n";
-}
-
 backend_standin::backend_standin(std::string id)
     : id_(std::move(id)), server_([this](const text_request& request,
                                          const standin_server::reply& reply)
@@ -37,6 +31,12 @@
     faults_.clear();
 }
 
+void backend_standin::set_engine(const batching_engine_settings& settings)
+{
+    const std::lock_guard lock(mutex_);
+    engine_ = std::make_unique<batching_engine>(settings, server_);
+}
+
 void backend_standin::set_stream(unsigned events, milliseconds pause)
 {
     const std::lock_guard lock(mutex_);
@@ -83,6 +83,14 @@
         reply(scripted_answer::of(421, "", {"X-Instance-Id: " + id_}));
         return;
     }
+    if (engine_ && fault == backend_fault::none)
+    {
+        auto script = engine_->start(request, stream_head(row.id));
+        seen_.back().ran = script.has_value();
+        reply(script ? std::move(*script)
+                     : answer(request, backend_fault::shed));
+        return;
+    }
     auto script = stream_events_ > 0 && fault == backend_fault::none
                       ? stream(request)
                       : answer(request, fault);
@@ -158,22 +166,12 @@
     const std::string last(request["Last-Event-Id"]);
     const unsigned first =
         last.empty() ? 1 : static_cast<unsigned>(std::stoul(last)) + 1;
-    std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                       "Transfer-Encoding: chunked\r\n";
-    for (const auto& header : answer_headers(id))
-    {
-        head += header + "\r\n";
-    }
     scripted_answer script;
-    script.parts.push_back({head + "\r\n", {}});
+    script.parts.push_back({stream_head(id), {}});
     const unsigned stop_after = break_after_.exchange(0);
     for (unsigned number = first; number <= stream_events_; ++number)
     {
-        const auto text = event_text(number);
-        std::array<char, 16> size{};
-        std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
-        script.parts.push_back(
-            {std::string(size.data()) + text + "\r\n", stream_pause_});
+        script.parts.push_back({chunk(event_text(number)), stream_pause_});
         if (stop_after > 0 && number - first + 1 == stop_after)
         {
             script.parts.push_back({"10\r\nid: 99\nda", {}});
@@ -185,6 +183,17 @@
     return script;
 }
 
+std::string backend_standin::stream_head(const std::string& request) const
+{
+    std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                       "Transfer-Encoding: chunked\r\n";
+    for (const auto& header : answer_headers(request))
+    {
+        head += header + "\r\n";
+    }
+    return head + "\r\n";
+}
+
 std::vector<std::string>
 backend_standin::answer_headers(const std::string& request) const
 {
--- a/tests/standins/backend_standin.hpp
+++ b/tests/standins/backend_standin.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "standins/batching_engine.hpp"
 #include "standins/standin_server.hpp"
 
 #include <cstdint>
@@ -57,6 +58,12 @@
     /// Makes answers streams of this many events, a pause before each.
     void set_stream(unsigned events, milliseconds pause);
 
+    /// Makes answers streams of an engine that batches and caches prompts.
+    void set_engine(const batching_engine_settings& settings);
+
+    /// Returns the engine of set_engine().
+    const batching_engine& engine() const { return *engine_; }
+
     /// Makes the next stream break off after some events.
     void break_next_stream_after(unsigned events) { break_after_ = events; }
 
@@ -77,6 +84,7 @@
                 const standin_server::reply& reply);
     scripted_answer answer(const text_request& request, backend_fault fault);
     scripted_answer stream(const text_request& request);
+    std::string stream_head(const std::string& request) const;
     std::vector<std::string> answer_headers(const std::string& request) const;
     backend_fault next_fault();
 
@@ -88,13 +96,11 @@
     milliseconds stream_pause_{0};
     std::atomic<unsigned> break_after_{0};
     std::atomic<std::int64_t> delay_ms_{0};
+    std::unique_ptr<batching_engine> engine_;
     standin_server server_; ///< last: its thread uses the rest
 };
 
 /// Returns the body that a backend server answers a request with.
 std::string answer_body(const std::string& server, const std::string& request);
 
-/// Returns the text of an event of a stream.
-std::string event_text(unsigned number);
-
 } // namespace mangolink::test
--- /dev/null
+++ b/tests/standins/batching_engine.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "standins/engine_model.hpp"
+#include "standins/standin_server.hpp"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace mangolink::test
+{
+
+/// Size and times of a stand-in model engine.
+struct batching_engine_settings final
+{
+    bench::engine_model_settings model;
+    std::size_t waiting = 4; ///< requests that may wait for a place
+    unsigned events = 5;     ///< of each answer, one token each
+};
+
+/// Model engine behind a stand-in: streams of all requests advance together
+/// in steps, and prompt prefixes that were read before are not read again.
+/// A request that finds no place is shed, one whose caller leaves is dropped.
+/// Any thread, but for start().
+class batching_engine final
+{
+public:
+    batching_engine(const batching_engine_settings& settings,
+                    standin_server& server);
+
+    /// Starts a request on the server's thread; nothing when it is shed.
+    std::optional<scripted_answer> start(const text_request& request,
+                                         std::string head);
+
+    /// Returns prompt tokens that were read, cached ones apart.
+    std::uint64_t tokens_read() const;
+
+    /// Returns prompt tokens that were found in the cache.
+    std::uint64_t tokens_reused() const;
+
+    /// Returns the most requests that ran in one step.
+    std::size_t largest_batch() const;
+
+private:
+    void step();
+    void deliver(const bench::engine_step& step);
+
+    batching_engine_settings settings_;
+    standin_server& server_;
+    mutable std::mutex mutex_;
+    bench::engine_model model_;
+    std::map<std::uint64_t, std::shared_ptr<live_bytes>> streams_;
+    std::uint64_t next_id_ = 1;
+    bool stepping_ = false;
+    std::uint64_t read_ = 0;
+    std::uint64_t reused_ = 0;
+    std::size_t largest_ = 0;
+};
+
+/// Returns the text of an event of a stream.
+std::string event_text(unsigned number);
+
+/// Returns bytes as one chunk of a chunked body.
+std::string chunk(const std::string& bytes);
+
+} // namespace mangolink::test
--- a/tests/standins/standin_server.cpp
+++ b/tests/standins/standin_server.cpp
@@ -26,6 +26,33 @@
     return answer;
 }
 
+live_bytes::live_bytes(asio::io_context& io, std::function<void()> left)
+    : wake_(io, asio::steady_timer::time_point::max()), left_(std::move(left))
+{
+}
+
+void live_bytes::push(const std::string& bytes)
+{
+    bytes_ += bytes;
+    wake_.cancel();
+}
+
+void live_bytes::finish()
+{
+    finished_ = true;
+    wake_.cancel();
+}
+
+asio::awaitable<std::string> live_bytes::next()
+{
+    while (bytes_.empty() && !finished_)
+    {
+        error_code ignored; // a cancelled wait is an event
+        co_await wake_.async_wait(into(ignored));
+    }
+    co_return std::exchange(bytes_, {});
+}
+
 standin_server::standin_server(handler handle)
     : handle_(std::move(handle)),
       acceptor_(listening_socket(io_, socket_address{"127.0.0.1", 0})),
@@ -134,6 +161,26 @@
     }
 }
 
+asio::awaitable<bool> standin_server::send_live(tcp::socket& socket,
+                                                live_bytes& live)
+{
+    while (true)
+    {
+        const std::string bytes = co_await live.next();
+        if (bytes.empty())
+        {
+            co_return true;
+        }
+        error_code error;
+        co_await asio::async_write(socket, asio::buffer(bytes), into(error));
+        if (error)
+        {
+            live.peer_left();
+            co_return false;
+        }
+    }
+}
+
 asio::awaitable<bool> standin_server::send(std::shared_ptr<tcp::socket> socket,
                                            scripted_answer answer)
 {
@@ -151,6 +198,10 @@
             co_return false;
         }
     }
+    if (answer.live && !co_await send_live(*socket, *answer.live))
+    {
+        co_return false;
+    }
     if (answer.end == answer_end::silent)
     {
         // Keeps the connection open until the peer or the test ends it.
--- a/tests/standins/standin_server.hpp
+++ b/tests/standins/standin_server.hpp
@@ -31,10 +31,36 @@
     milliseconds pause{0};
 };
 
+/// Bytes that follow an answer's parts as they come to be. Used on the
+/// stand-in's thread.
+class live_bytes final
+{
+public:
+    /// `left` is called when the peer is gone before the end.
+    live_bytes(asio::io_context& io, std::function<void()> left);
+
+    void push(const std::string& bytes);
+    void finish();
+
+    /// Returns all that was pushed since the last call; waits for more.
+    /// Empty at the end.
+    asio::awaitable<std::string> next();
+
+    /// Tells that the peer is gone.
+    void peer_left() { left_(); }
+
+private:
+    std::string bytes_;
+    bool finished_ = false;
+    asio::steady_timer wake_;
+    std::function<void()> left_;
+};
+
 /// What a stand-in does with a request; parts are sent as they are.
 struct scripted_answer final
 {
     std::vector<answer_part> parts;
+    std::shared_ptr<live_bytes> live; ///< null: the parts are all
     answer_end end = answer_end::whole;
     bool close_after = false; ///< ends the connection after a whole answer
 
@@ -62,6 +88,9 @@
     /// Runs a function on the server's thread, after a time.
     void post(std::function<void()> work, milliseconds after = {});
 
+    /// Returns where answers that come to be by and by wait.
+    asio::io_context& context() { return io_; }
+
     /// Returns how many connections their peers closed while an answer was
     /// being held back.
     std::size_t abandoned() const { return abandoned_; }
@@ -75,6 +104,8 @@
 private:
     asio::awaitable<void> accept_loop();
     asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket);
+    static asio::awaitable<bool> send_live(tcp::socket& socket,
+                                           live_bytes& live);
     asio::awaitable<bool> send(std::shared_ptr<tcp::socket> socket,
                                scripted_answer answer);
 
--- a/tests/unit/engine_standin_test.cpp
+++ b/tests/unit/engine_standin_test.cpp
@@ -21,9 +21,9 @@
     void batch_and_priorities()
     {
         engine_model engine({.max_batch = 2});
-        engine.add({1, "a", 2, 5});
-        engine.add({2, "b", 2, 5});
-        engine.add({3, "c", 1, 0});
+        engine.add({1, {}, 1, 2, 5});
+        engine.add({2, {}, 1, 2, 5});
+        engine.add({3, {}, 1, 1, 0});
         const engine_step first = engine.step();
         section("the urgent one is in the first batch of two",
                 [&]
@@ -36,14 +36,14 @@
                 [&]
                 {
                     engine_model alone({});
-                    alone.add({1, "a", 2, 5});
+                    alone.add({1, {}, 1, 2, 5});
                     CPPUNIT_ASSERT(alone.step().length < first.length);
                 });
         section("a resumed sequence goes on at its token",
                 []
                 {
                     engine_model resumed({});
-                    resumed.add({1, "a", 5, 5, 3});
+                    resumed.add({1, {}, 1, 5, 5, 3});
                     CPPUNIT_ASSERT_EQUAL(3U, resumed.step().tokens[0].index);
                     CPPUNIT_ASSERT(resumed.step().tokens[0].last);
                     CPPUNIT_ASSERT(resumed.idle());
@@ -55,7 +55,7 @@
         const std::string prompt(640, 'p');
         const auto cached_of = [&](engine_model& engine, std::uint64_t id)
         {
-            engine.add({id, prompt, 1, 5});
+            engine.add({id, text_blocks(prompt), text_tokens(prompt), 1, 5});
             return engine.step().tokens[0].cached_tokens;
         };
         engine_model engine({});
@@ -69,16 +69,18 @@
                 [&]
                 {
                     engine_model other({});
-                    other.import_blocks(engine.export_prefix(prompt));
+                    other.import_blocks(
+                        engine.export_prefix(text_blocks(prompt)));
                     CPPUNIT_ASSERT_EQUAL(160U, cached_of(other, 1));
                 });
         section("a cache that is too small forgets",
                 [&]
                 {
-                    engine_model small({.cache_blocks = 4});
+                    engine_model small({.cache_tokens = 64});
                     cached_of(small, 1);
                     CPPUNIT_ASSERT_EQUAL(0U, cached_of(small, 2));
-                    CPPUNIT_ASSERT(small.export_prefix(prompt).empty());
+                    CPPUNIT_ASSERT(
+                        small.export_prefix(text_blocks(prompt)).empty());
                 });
     }
 
