Let one gateway of a zone read the store for the others

The gateways of a zone that win by rendezvous hash (one for up to 24) read; the others ask one of them over POST /updates, held back until something differs. What is told counts from the moment of the question plus the time the answer was held, so pauses and delays make knowledge older, never newer. A configuration is still read from the store, once, when its version is newer. A process follows nobody that is silent, restarted, not reading, or sure of the entries for less than 1.9 s; then it reads the store itself.

Ruled out: ages in the datagrams (a datagram that waits in the socket of a suspended process would look fresh); longer watches (a silent connection would hide a leaving server for longer than the bound); a position in the reader's list (a digest lets any reader go on where another stopped).

--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -5,9 +5,10 @@
 #include "connection/caller_session.hpp"
 #include "connection/forward_protocol.hpp"
 #include "connection/listening_socket.hpp"
-#include "connection/order_server.hpp"
 #include "connection/peer_beats.hpp"
+#include "connection/peer_server.hpp"
 #include "connection/time_limit.hpp"
+#include "connection/update_follower.hpp"
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -86,10 +87,11 @@
       peers_({describe(settings_)}), stages_(io_, settings_, protocol_, state_,
                                              peers_, connections_, metrics_),
       feed_(
-          state_, [this] { stages_.surroundings_changed(); },
+          state_, [this] { surroundings_changed(); },
           [this](const std::string& id) { forget(id); }),
       context_{io_,    settings_,    protocol_, metrics_,
                state_, connections_, stages_},
+      turn_(io_), updates_(io_, state_, feed_, turn_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       log_output_(std::cout, STDOUT_FILENO, log_capacity),
       log_dropped_(metrics_.counter("mangolink_log_lines_dropped_total"))
@@ -128,11 +130,14 @@
     {
         return;
     }
-    orders_ =
-        std::make_unique<order_server>(io_, peers_.self().address, stages_);
+    peer_server_ = std::make_unique<peer_server>(io_, peers_.self().address,
+                                                 stages_, updates_);
     beats_ = std::make_unique<peer_beats>(
         io_, peers_, stages_, settings_.seeds,
-        [this] { stages_.surroundings_changed(); }, metrics_);
+        [this] { surroundings_changed(); }, metrics_);
+    follower_ = std::make_unique<update_follower>(
+        io_, state_, feed_, peers_, turn_,
+        backend_caller(io_, protocol_, connections_), metrics_);
 }
 
 bool gateway_server::run()
@@ -169,6 +174,16 @@
     stages_.forget(server);
 }
 
+void gateway_server::surroundings_changed()
+{
+    stages_.surroundings_changed();
+    updates_.changed();
+    if (follower_)
+    {
+        follower_->peers_changed();
+    }
+}
+
 void gateway_server::accept_callers()
 {
     callers_ = open_listener(io_, settings_.callers);
@@ -312,6 +327,7 @@
         {"stopping", context_.stopping},
         {"configuration", configuration ? configuration->version() : 0},
         {"confirmed_ms_ago", age ? age->count() : -1},
+        {"reads_platform", turn_.reads()},
         {"backend_servers", state_.directory().size()},
         {"peers", peers_.size()},
         {"open_requests", context_.open_requests},
--- a/src/connection/gateway_server.hpp
+++ b/src/connection/gateway_server.hpp
@@ -6,7 +6,9 @@
 #include "connection/backend_pool.hpp"
 #include "connection/closing_context.hpp"
 #include "connection/gateway_context.hpp"
+#include "connection/reading_turn.hpp"
 #include "connection/stage_dispatcher.hpp"
+#include "connection/update_source.hpp"
 #include "process/peer_directory.hpp"
 #include "roles/gateway_feed.hpp"
 #include "roles/gateway_settings.hpp"
@@ -21,8 +23,9 @@
 namespace mangolink
 {
 
-class order_server;
+class peer_server;
 class peer_beats;
+class update_follower;
 
 /// A gateway: forwards callers' requests to backend servers, over HTTP on both
 /// sides, on one thread.
@@ -42,6 +45,9 @@
     /// Takes what a platform publishes.
     gateway_feed& feed() { return feed_; }
 
+    /// Tells when the platform should be read.
+    reading_turn& turn() { return turn_; }
+
     asio::io_context& context() { return io_; }
 
     /// Serves until SIGTERM or SIGINT and the end of open requests; returns
@@ -53,6 +59,7 @@
 
     std::size_t connection_share(const backend_server& server);
     void forget(const std::string& server);
+    void surroundings_changed();
     void accept_callers();
     void close_listener();
     asio::awaitable<void> accept_loop(std::shared_ptr<tcp::acceptor> acceptor);
@@ -82,7 +89,10 @@
     gateway_feed feed_;
     gateway_context context_;
     std::shared_ptr<tcp::acceptor> callers_;
-    std::unique_ptr<order_server> orders_;
+    reading_turn turn_;
+    update_source updates_;
+    std::unique_ptr<update_follower> follower_;
+    std::unique_ptr<peer_server> peer_server_;
     std::unique_ptr<peer_beats> beats_;
     asio::signal_set signals_;
     bounded_output log_output_;
--- a/src/connection/order_server.cpp
+++ b/src/connection/peer_server.cpp
@@ -1,12 +1,14 @@
-#include "connection/order_server.hpp"
+#include "connection/peer_server.hpp"
 
 #include "base/log.hpp"
 #include "base/socket_address.hpp"
 #include "connection/listening_socket.hpp"
 #include "connection/order_message.hpp"
+#include "connection/peer_call.hpp"
 #include "connection/socket_state.hpp"
 #include "connection/stage_dispatcher.hpp"
 #include "connection/time_limit.hpp"
+#include "connection/update_source.hpp"
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -23,7 +25,7 @@
 } // namespace
 
 /// Order of another process, while its pieces are made here.
-class order_server::remote_order final : public stage_client
+class peer_server::remote_order final : public stage_client
 {
 public:
     remote_order(asio::io_context& io, stage_dispatcher& stages,
@@ -88,16 +90,17 @@
     bool wanted_ = true;
 };
 
-order_server::order_server(asio::io_context& io, const socket_address& address,
-                           stage_dispatcher& stages)
-    : io_(io), stages_(stages), acceptor_(listening_socket(io, address))
+peer_server::peer_server(asio::io_context& io, const socket_address& address,
+                         stage_dispatcher& stages, update_source& updates)
+    : io_(io), stages_(stages), updates_(updates),
+      acceptor_(listening_socket(io, address))
 {
     asio::co_spawn(io_, accept_loop(), asio::detached);
 }
 
-order_server::~order_server() = default;
+peer_server::~peer_server() = default;
 
-asio::awaitable<void> order_server::accept_loop()
+asio::awaitable<void> peer_server::accept_loop()
 {
     while (true)
     {
@@ -117,7 +120,7 @@
     }
 }
 
-asio::awaitable<void> order_server::serve(std::shared_ptr<tcp::socket> socket)
+asio::awaitable<void> peer_server::serve(std::shared_ptr<tcp::socket> socket)
 {
     boost::beast::flat_buffer buffer;
     error_code error;
@@ -139,6 +142,13 @@
         {
             co_await make_order(socket, request.body(), response);
         }
+        else if (request.target() == updates_path)
+        {
+            auto answer = co_await updates_.answer(request.body());
+            response.result(answer ? http::status::ok
+                                   : http::status::service_unavailable);
+            response.body() = answer ? std::move(*answer) : std::string();
+        }
         else if (const auto message = decode_release(request.body());
                  message && request.target() == release_path)
         {
@@ -154,8 +164,8 @@
 }
 
 asio::awaitable<void>
-order_server::make_order(std::shared_ptr<tcp::socket> socket,
-                         const std::string& body, text_response& response)
+peer_server::make_order(std::shared_ptr<tcp::socket> socket,
+                        const std::string& body, text_response& response)
 {
     const auto addressed = decode_order(body, boot_clock::now());
     if (!addressed)
@@ -176,8 +186,8 @@
     response.body() = encode_reply(pending->reports());
 }
 
-asio::awaitable<void> order_server::watch(std::shared_ptr<tcp::socket> socket,
-                                          std::shared_ptr<remote_order> order)
+asio::awaitable<void> peer_server::watch(std::shared_ptr<tcp::socket> socket,
+                                         std::shared_ptr<remote_order> order)
 {
     error_code error;
     co_await socket->async_wait(tcp::socket::wait_read, into(error));
--- a/src/connection/order_server.hpp
+++ b/src/connection/peer_server.hpp
@@ -9,19 +9,21 @@
 {
 
 class stage_dispatcher;
+class update_source;
 struct socket_address;
 
-/// Takes stage orders and releases of other processes. Used by one thread.
-class order_server final
+/// Takes stage orders, releases and questions for updates of other processes.
+/// Used by one thread.
+class peer_server final
 {
 public:
     /// Starts to serve at once.
-    order_server(asio::io_context& io, const socket_address& address,
-                 stage_dispatcher& stages);
-    ~order_server();
+    peer_server(asio::io_context& io, const socket_address& address,
+                stage_dispatcher& stages, update_source& updates);
+    ~peer_server();
 
-    order_server(const order_server&) = delete;
-    order_server& operator=(const order_server&) = delete;
+    peer_server(const peer_server&) = delete;
+    peer_server& operator=(const peer_server&) = delete;
 
 private:
     class remote_order;
@@ -36,6 +38,7 @@
 
     asio::io_context& io_;
     stage_dispatcher& stages_;
+    update_source& updates_;
     tcp::acceptor acceptor_;
 };
 
--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -6,6 +6,7 @@
 #include "connection/forward_protocol.hpp"
 #include "connection/listening_socket.hpp"
 #include "connection/order_message.hpp"
+#include "connection/peer_call.hpp"
 #include "process/peer_directory.hpp"
 #include "roles/gateway_settings.hpp"
 #include "roles/gateway_state.hpp"
@@ -27,25 +28,6 @@
 constexpr int order_limit_factor = 3;
 constexpr milliseconds order_reserve{1500};
 
-std::shared_ptr<const backend_server> as_server(const peer& one)
-{
-    auto server = std::make_shared<backend_server>();
-    server->id = one.name + "/" + one.started.text();
-    server->address = one.address;
-    server->zone = one.zone;
-    return server;
-}
-
-text_request peer_request(const peer& to, const char* path, std::string body)
-{
-    text_request request(http::verb::post, path, 11);
-    request.set(http::field::host, to.address.text());
-    request.set(http::field::content_type, "application/x-protobuf");
-    request.body() = std::move(body);
-    request.prepare_payload();
-    return request;
-}
-
 } // namespace
 
 stage_dispatcher::stage_dispatcher(asio::io_context& io,
--- a/src/connection/stage_dispatcher.hpp
+++ b/src/connection/stage_dispatcher.hpp
@@ -104,8 +104,4 @@
     bool release_pending_ = false;
 };
 
-/// Paths at which processes take messages of others.
-constexpr const char* order_path = "/orders";
-constexpr const char* release_path = "/releases";
-
 } // namespace mangolink
--- /dev/null
+++ b/src/connection/update_follower.cpp
@@ -0,0 +1,195 @@
+#include "connection/update_follower.hpp"
+
+#include "base/hash.hpp"
+#include "base/log.hpp"
+#include "base/metrics.hpp"
+#include "connection/backend_exchange.hpp"
+#include "connection/listening_socket.hpp"
+#include "connection/peer_call.hpp"
+#include "connection/reading_turn.hpp"
+#include "connection/update_message.hpp"
+#include "roles/gateway_feed.hpp"
+#include "roles/gateway_state.hpp"
+
+#include <algorithm>
+
+namespace mangolink
+{
+namespace
+{
+
+/// Longest time that a question waits for news; with the age of what the
+/// other process knows it stays well under the time that keys are trusted.
+constexpr milliseconds question_wait{1000};
+constexpr milliseconds question_reserve{500};
+
+/// Pause after an answer; a configuration that is told of is read meanwhile.
+constexpr milliseconds least_interval{40};
+
+/// How long a process that failed is not asked again.
+constexpr milliseconds distrust_time{3000};
+
+/// How often a process that reads itself looks for one to follow.
+constexpr milliseconds search_interval{250};
+
+} // namespace
+
+update_follower::update_follower(asio::io_context& io, gateway_state& state,
+                                 gateway_feed& feed,
+                                 const peer_directory& peers,
+                                 reading_turn& turn, backend_caller calls,
+                                 metrics_registry& metrics)
+    : io_(io), state_(state), feed_(feed), peers_(peers), turn_(turn),
+      calls_(std::move(calls)),
+      taken_(metrics.counter("mangolink_updates_total", "how=\"taken\"")),
+      failed_(metrics.counter("mangolink_updates_total", "how=\"failed\""))
+{
+    asio::co_spawn(io_, run(), asio::detached);
+}
+
+void update_follower::peers_changed()
+{
+    const auto exchange = exchange_.lock();
+    if (!exchange || !source_)
+    {
+        return;
+    }
+    const peer* known = peers_.find(source_->name);
+    if (known == nullptr || known->started != source_->started)
+    {
+        exchange->abort();
+    }
+}
+
+asio::awaitable<void> update_follower::run()
+{
+    while (true)
+    {
+        const peer* from = choose(boot_clock::now());
+        if (from == nullptr)
+        {
+            read_alone("no process to follow");
+            co_await pause(io_, search_interval);
+            continue;
+        }
+        source_ = *from;
+        if (co_await ask(*source_))
+        {
+            taken_.add();
+            if (turn_.reads())
+            {
+                log_notice("updates", "Followed from another process.",
+                           {{"process", source_->name}});
+                turn_.set_reads(false);
+            }
+            co_await pause(io_, least_interval);
+            continue;
+        }
+        failed_.add();
+        distrusted_until_[source_->name] = boot_clock::now() + distrust_time;
+        read_alone(source_->name + " does not tell");
+    }
+}
+
+const peer* update_follower::choose(boot_clock::time_point now) const
+{
+    // What is known first is read from the platform, without a detour.
+    if (!state_.configuration() || !feed_.entries_age(now))
+    {
+        return nullptr;
+    }
+    const auto rank = [this](const peer& one)
+    { return stable_hash(one.name, stable_hash(peers_.self().name)); };
+    const peer* best = nullptr;
+    for (const peer* one : peers_.readers())
+    {
+        if (one == &peers_.self())
+        {
+            return nullptr;
+        }
+        const auto found = distrusted_until_.find(one->name);
+        const bool trusted =
+            found == distrusted_until_.end() || found->second <= now;
+        if (trusted && (best == nullptr || rank(*one) > rank(*best)))
+        {
+            best = one;
+        }
+    }
+    return best;
+}
+
+asio::awaitable<bool> update_follower::ask(peer from)
+{
+    const update_question question{state_.configuration()->version(),
+                                   feed_.entries().digest(), question_wait};
+    const auto asked = boot_clock::now();
+    text_request request =
+        peer_request(from, updates_path, encode_question(question));
+    auto to = as_server(from);
+    const milliseconds limit = question_wait + question_reserve;
+    const auto reply = co_await calls_.call(std::move(to), std::move(request),
+                                            limit, &exchange_);
+    if (!reply || reply->result() != http::status::ok)
+    {
+        co_return false;
+    }
+    const auto answer = decode_answer(reply->body());
+    co_return answer&& take(*answer, asked);
+}
+
+bool update_follower::take(const update_answer& answer,
+                           boot_clock::time_point asked)
+{
+    const auto now = boot_clock::now();
+    const auto told = asked + answer.held; // the answer is no older
+    if (answer.entries_age > oldest_passed_on)
+    {
+        return false;
+    }
+    if (answer.failure_age)
+    {
+        feed_.failed_elsewhere(now - *answer.failure_age);
+    }
+    if (answer.whole)
+    {
+        std::vector<backend_server> all;
+        for (const auto& change : answer.changes)
+        {
+            all.push_back(*change.entry);
+        }
+        feed_.listed(std::move(all), now);
+    }
+    for (const auto& change : answer.changes)
+    {
+        if (!answer.whole && change.entry)
+        {
+            feed_.put(*change.entry);
+        }
+        else if (!answer.whole)
+        {
+            feed_.removed(change.id, now);
+        }
+    }
+    feed_.entries_confirmed(told - answer.entries_age);
+    const auto known = state_.configuration()->version();
+    if (answer.configuration_version == known)
+    {
+        feed_.confirmed(told - answer.configuration_age);
+    }
+    else if (answer.configuration_version > known)
+    {
+        turn_.want_configuration();
+    }
+    return true;
+}
+
+void update_follower::read_alone(const std::string& why)
+{
+    if (!turn_.reads())
+    {
+        log_notice("updates", "The platform is read here.", {{"why", why}});
+        turn_.set_reads(true);
+    }
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/update_source.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "connection/asio_types.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mangolink
+{
+
+class gateway_feed;
+class gateway_state;
+class reading_turn;
+
+/// Tells other processes what this one reads from the platform. Used by one
+/// thread.
+class update_source final
+{
+public:
+    update_source(asio::io_context& io, const gateway_state& state,
+                  const gateway_feed& feed, const reading_turn& turn);
+
+    /// Returns the answer to a question once something differs from what the
+    /// asker knows, its wait is over, or this process is no longer sure of
+    /// what it knows; nothing when it does not read the platform itself or
+    /// the question can't be read.
+    asio::awaitable<std::optional<std::string>> answer(std::string question);
+
+    /// Takes a change of what is published.
+    void changed();
+
+private:
+    asio::io_context& io_;
+    const gateway_state& state_;
+    const gateway_feed& feed_;
+    const reading_turn& turn_;
+    std::vector<std::shared_ptr<asio::steady_timer>> waiting_;
+};
+
+} // namespace mangolink
--- a/src/process/peer_directory.cpp
+++ b/src/process/peer_directory.cpp
@@ -14,6 +14,10 @@
 
 constexpr std::size_t most_candidates = 64;
 
+/// Processes that one reader of the platform serves: each asks once a second,
+/// which takes some 0.3 ms.
+constexpr std::size_t followers_of_reader = 24;
+
 /// A process of the server's zone goes first. The rank must be the same in
 /// every process, so nothing else that depends on the viewer counts.
 int nearness(const peer& one, std::string_view zone)
@@ -134,6 +138,28 @@
     return best == &settings_.self ? nullptr : best;
 }
 
+std::vector<const peer*> peer_directory::readers() const
+{
+    std::vector<const peer*> all;
+    if (!settings_.self.stopping)
+    {
+        all.push_back(&settings_.self);
+    }
+    for (const auto& [name, row] : peers_)
+    {
+        if (row.facts.zone == settings_.self.zone && !row.facts.stopping)
+        {
+            all.push_back(&row.facts);
+        }
+    }
+    std::sort(all.begin(), all.end(),
+              [](const peer* a, const peer* b)
+              { return stable_hash(a->name) > stable_hash(b->name); });
+    const auto count = 1 + all.size() / followers_of_reader;
+    all.resize(std::min(all.size(), count));
+    return all;
+}
+
 const peer* peer_directory::find(std::string_view name) const
 {
     const auto found = peers_.find(std::string(name));
--- a/src/process/peer_directory.hpp
+++ b/src/process/peer_directory.hpp
@@ -74,6 +74,11 @@
     const peer* responsible(std::string_view server,
                             std::string_view zone) const;
 
+    /// Returns the processes of the own zone that read the platform for it: a
+    /// few by rendezvous hash, none that is stopping. This process may be one
+    /// of them; it is the only one when it is alone.
+    std::vector<const peer*> readers() const;
+
     /// Returns the peer of that name, or null.
     const peer* find(std::string_view name) const;
 
@@ -105,8 +110,6 @@
         std::size_t count = 0;
     };
 
-    /// Returns 2 in the zone, 1 in the own region's zones, else 0.
-
     peer_directory_settings settings_;
     absl::flat_hash_map<std::string, peer_row> peers_;
     std::vector<candidate> candidates_;
--- /dev/null
+++ b/src/process/published_entries.cpp
@@ -0,0 +1,122 @@
+#include "process/published_entries.hpp"
+
+#include "base/hash.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace mangolink
+{
+namespace
+{
+
+/// Changes that are remembered; a process that follows another asks about
+/// once a second, and a pool of hundreds of servers changes more slowly.
+constexpr std::size_t most_remembered = 256;
+
+std::uint64_t digest_of(const backend_server& entry)
+{
+    return stable_hash(absl::StrCat(entry.id, "\n", entry.service, "\n",
+                                    entry.address.text(), "\n", entry.zone,
+                                    "\n", entry.slots, "\n", entry.started_ms,
+                                    "\n", static_cast<int>(entry.leaving)));
+}
+
+} // namespace
+
+void published_entries::replace_all(const std::vector<backend_server>& entries)
+{
+    absl::flat_hash_map<std::string, backend_server> next;
+    for (const auto& entry : entries)
+    {
+        next.emplace(entry.id, entry);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, entry] : entries_)
+    {
+        if (!next.contains(id))
+        {
+            missing.push_back(id);
+        }
+    }
+    for (const auto& id : missing)
+    {
+        remove(id);
+    }
+    for (const auto& [id, entry] : next)
+    {
+        put(entry);
+    }
+}
+
+void published_entries::put(const backend_server& entry)
+{
+    const auto found = entries_.find(entry.id);
+    if (found != entries_.end() && found->second.same_facts(entry))
+    {
+        found->second = entry;
+        return;
+    }
+    record({entry.id, entry});
+    // Sums of hashes do not depend on the order of the changes.
+    digest_ -= found == entries_.end() ? 0 : digest_of(found->second);
+    digest_ += digest_of(entry);
+    entries_[entry.id] = entry;
+}
+
+void published_entries::remove(const std::string& id)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end())
+    {
+        return;
+    }
+    record({id, std::nullopt});
+    digest_ -= digest_of(found->second);
+    entries_.erase(found);
+}
+
+std::optional<std::vector<entry_change>>
+published_entries::since(std::uint64_t digest) const
+{
+    std::vector<entry_change> changes;
+    if (digest == digest_)
+    {
+        return changes;
+    }
+    const auto last = std::find_if(past_.rbegin(), past_.rend(),
+                                   [digest](const auto& row)
+                                   { return row.before == digest; });
+    if (last == past_.rend())
+    {
+        return std::nullopt;
+    }
+    for (auto row = std::prev(last.base()); row != past_.end(); ++row)
+    {
+        changes.push_back(row->change);
+    }
+    return changes;
+}
+
+std::vector<backend_server> published_entries::all() const
+{
+    std::vector<backend_server> result;
+    result.reserve(entries_.size());
+    for (const auto& [id, entry] : entries_)
+    {
+        result.push_back(entry);
+    }
+    return result;
+}
+
+void published_entries::record(entry_change change)
+{
+    past_.push_back({digest_, std::move(change)});
+    if (past_.size() > most_remembered)
+    {
+        past_.pop_front();
+    }
+}
+
+} // namespace mangolink
--- a/src/roles/gateway_feed.cpp
+++ b/src/roles/gateway_feed.cpp
@@ -55,9 +55,39 @@
     state_.freshness().confirm(as_of);
 }
 
+void gateway_feed::entries_confirmed(boot_clock::time_point as_of)
+{
+    entries_confirmed_ =
+        entries_confirmed_ ? std::max(*entries_confirmed_, as_of) : as_of;
+}
+
+void gateway_feed::failed_elsewhere(boot_clock::time_point at)
+{
+    last_failure_ = std::max(last_failure_, at);
+}
+
+std::optional<milliseconds>
+gateway_feed::entries_age(boot_clock::time_point now) const
+{
+    return entries_confirmed_
+               ? std::optional(std::chrono::duration_cast<milliseconds>(
+                     now - *entries_confirmed_))
+               : std::nullopt;
+}
+
+std::optional<milliseconds>
+gateway_feed::failure_age(boot_clock::time_point now) const
+{
+    return disturbed(now)
+               ? std::optional(std::chrono::duration_cast<milliseconds>(
+                     now - last_failure_))
+               : std::nullopt;
+}
+
 void gateway_feed::listed(std::vector<backend_server> servers,
                           boot_clock::time_point now)
 {
+    entries_.replace_all(servers);
     const std::size_t count = servers.size();
     const bool unsure = disturbed(now);
     const auto before = state_.directory().version();
@@ -84,6 +114,7 @@
 void gateway_feed::put(backend_server server)
 {
     const backend_server copy = server;
+    entries_.put(copy);
     const auto change = state_.directory().put(std::move(server));
     if (change == directory_change::none)
     {
@@ -95,6 +126,7 @@
 
 void gateway_feed::removed(const std::string& id, boot_clock::time_point now)
 {
+    entries_.remove(id);
     const auto change = state_.directory().remove(id, disturbed(now), now);
     if (change == directory_change::removed)
     {
@@ -105,6 +137,7 @@
     {
         log_notice("directory", "Entry lapsed near a disturbance.",
                    {{"server", id}});
+        changed_();
     }
 }
 
--- a/src/roles/gateway_feed.hpp
+++ b/src/roles/gateway_feed.hpp
@@ -2,9 +2,11 @@
 
 #include "base/clock.hpp"
 #include "process/backend_server.hpp"
+#include "process/published_entries.hpp"
 #include "version/gateway_configuration.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +17,11 @@
 class gateway_state;
 enum class directory_change : std::uint8_t;
 
+/// Oldest knowledge that is passed on to others, and taken from them: a watch
+/// of 1.5 s at its end, and a slow answer. A leaving server must get no work
+/// 2.5 s after its report.
+constexpr milliseconds oldest_passed_on{1900};
+
 /// Takes what a platform publishes into the state of a gateway, and logs
 /// every change of what the gateway believes. Used by one thread.
 class gateway_feed final
@@ -32,6 +39,21 @@
     /// Takes that nothing newer than the configuration in force existed.
     void confirmed(boot_clock::time_point as_of);
 
+    /// Takes that all entries published by `as_of` were taken.
+    void entries_confirmed(boot_clock::time_point as_of);
+
+    /// Takes that the source failed for another process that reads it.
+    void failed_elsewhere(boot_clock::time_point at);
+
+    /// Returns the entries as they are published.
+    const published_entries& entries() const { return entries_; }
+
+    /// Returns the time since they were confirmed; nothing before the first.
+    std::optional<milliseconds> entries_age(boot_clock::time_point now) const;
+
+    /// Returns the time since the source failed, if that was lately.
+    std::optional<milliseconds> failure_age(boot_clock::time_point now) const;
+
     /// Takes a listing of all servers.
     void listed(std::vector<backend_server> servers,
                 boot_clock::time_point now);
@@ -59,6 +81,8 @@
     gateway_state& state_;
     std::function<void()> changed_;
     std::function<void(const std::string&)> gone_;
+    published_entries entries_;
+    std::optional<boot_clock::time_point> entries_confirmed_;
     std::vector<std::string> failing_; ///< what the source does not answer
     boot_clock::time_point last_failure_;
 };
--- a/tests/support/platform_site.cpp
+++ b/tests/support/platform_site.cpp
@@ -79,6 +79,12 @@
     }
 }
 
+bool gateway_process::reads_store() const
+{
+    const auto status = json::parse(operators_page("/status"), nullptr, false);
+    return status.is_object() && status.value("reads_platform", false);
+}
+
 std::string gateway_process::operators_page(const std::string& path) const
 {
     test_caller caller(operators());
@@ -148,18 +154,22 @@
                      {"coldRemainingMs", 0},
                      {"born", 1'000'000},
                      {"sequence", ++row.sequence}};
-    store_.put("servers/" + id, value.dump());
+    put("servers/" + id, value.dump());
 }
 
 void platform_site::unregister_server(const std::string& id)
 {
     store_.remove("servers/" + id);
+    for (const auto& other : more_stores_)
+    {
+        other->remove("servers/" + id);
+    }
 }
 
 void platform_site::publish()
 {
     configuration_["version"] = configuration_["version"].get<int>() + 1;
-    store_.put("op/config", configuration_.dump());
+    put("op/config", configuration_.dump());
 }
 
 json& platform_site::add_route(const std::string& prefix,
@@ -179,7 +189,23 @@
     return configuration_["routes"].back();
 }
 
-gateway_process& platform_site::start_gateway(const std::string& more)
+void platform_site::put(const std::string& key, const std::string& value)
+{
+    store_.put(key, value);
+    for (const auto& other : more_stores_)
+    {
+        other->put(key, value);
+    }
+}
+
+store_standin& platform_site::add_store()
+{
+    more_stores_.push_back(std::make_unique<store_standin>());
+    return *more_stores_.back();
+}
+
+gateway_process& platform_site::start_gateway(const std::string& more,
+                                              const store_standin* store)
 {
     std::vector<std::string> seeds;
     for (const auto& other : gateways_)
@@ -188,7 +214,8 @@
     }
     const std::string name = "gateway-" + std::to_string(gateways_.size() + 1);
     gateways_.push_back(std::make_unique<gateway_process>(
-        name, store_.address(), seeds, folder_, more));
+        name, (store == nullptr ? store_ : *store).address(), seeds, folder_,
+        more));
     if (!bench::wait_until([this] { return gateways_.back()->ready(); }))
     {
         throw std::runtime_error("gateway is not ready: " +
--- a/tests/support/platform_site.hpp
+++ b/tests/support/platform_site.hpp
@@ -32,6 +32,9 @@
     /// Returns whether the balancer would send it connections.
     bool ready() const;
 
+    /// Returns whether it reads the store itself.
+    bool reads_store() const;
+
     /// Returns the answer of the operators' address to a path.
     std::string operators_page(const std::string& path) const;
 
@@ -76,8 +79,13 @@
                               const std::string& service);
 
     /// Starts a gateway and waits until it is ready. `more`: settings besides
-    /// those of every gateway.
-    gateway_process& start_gateway(const std::string& more = {});
+    /// those of every gateway. `store`: the one it reads; null: the first.
+    gateway_process& start_gateway(const std::string& more = {},
+                                   const store_standin* store = nullptr);
+
+    /// Adds a store that shows the same as the first, so that faults of the
+    /// store can meet some gateways only.
+    store_standin& add_store();
 
     /// Returns a request for a path, with an id, a key and a deadline.
     static text_request request(const std::string& path, const std::string& id,
@@ -94,7 +102,10 @@
         unsigned sequence = 0;
     };
 
+    void put(const std::string& key, const std::string& value);
+
     store_standin store_;
+    std::vector<std::unique_ptr<store_standin>> more_stores_;
     std::map<std::string, entry> entries_;
     std::vector<std::unique_ptr<backend_standin>> backends_;
     std::vector<std::unique_ptr<pool_standin>> pools_;
--- /dev/null
+++ b/tests/unit/published_entries_test.cpp
@@ -0,0 +1,158 @@
+#include "connection/update_message.hpp"
+#include "process/peer_directory.hpp"
+#include "process/published_entries.hpp"
+#include "support/story.hpp"
+
+#include <random>
+
+namespace mangolink::test
+{
+namespace
+{
+
+backend_server entry(const std::string& id, std::uint64_t started)
+{
+    return {id, "desk", {"10.0.0.1", 80}, "z1", 4, started, 1, false};
+}
+
+} // namespace
+
+/// What a process passes on of what it read.
+class published_entries_test final : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(published_entries_test);
+    CPPUNIT_TEST(changes_lead_to_the_same_state);
+    CPPUNIT_TEST(a_forgotten_state_is_not_guessed);
+    CPPUNIT_TEST(messages_arrive_as_sent);
+    CPPUNIT_TEST(damaged_messages_are_no_messages);
+    CPPUNIT_TEST(few_processes_read);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void changes_lead_to_the_same_state()
+    {
+        for (unsigned seed = 1; seed <= 50; ++seed)
+        {
+            std::mt19937 random(seed);
+            published_entries source;
+            published_entries copy;
+            for (int step = 0; step < 200; ++step)
+            {
+                const auto id = "s" + std::to_string(random() % 9);
+                if (random() % 3 == 0)
+                {
+                    source.remove(id);
+                }
+                else
+                {
+                    source.put(entry(id, random() % 4));
+                }
+                if (random() % 5 == 0)
+                {
+                    const auto changes = source.since(copy.digest());
+                    CPPUNIT_ASSERT(changes);
+                    for (const auto& change : *changes)
+                    {
+                        change.entry ? copy.put(*change.entry)
+                                     : copy.remove(change.id);
+                    }
+                    CPPUNIT_ASSERT_EQUAL(source.digest(), copy.digest());
+                    CPPUNIT_ASSERT_EQUAL(source.all().size(),
+                                         copy.all().size());
+                }
+            }
+        }
+    }
+
+    void a_forgotten_state_is_not_guessed()
+    {
+        published_entries source;
+        source.put(entry("s1", 1));
+        const auto old = source.digest();
+        for (std::uint64_t i = 0; i < 1000; ++i)
+        {
+            source.put(entry("s2", i));
+        }
+        CPPUNIT_ASSERT(!source.since(old));
+        CPPUNIT_ASSERT(!source.since(12345));
+        section("the whole leads there",
+                [&]
+                {
+                    published_entries copy;
+                    copy.put(entry("gone", 1));
+                    copy.replace_all(source.all());
+                    CPPUNIT_ASSERT_EQUAL(source.digest(), copy.digest());
+                });
+    }
+
+    void messages_arrive_as_sent()
+    {
+        update_answer answer;
+        answer.held = milliseconds(17);
+        answer.configuration_version = 9;
+        answer.entries_age = milliseconds(400);
+        answer.failure_age = milliseconds(0);
+        answer.changes = {{"s1", entry("s1", 5)}, {"s2", std::nullopt}};
+        const auto read = decode_answer(encode_answer(answer));
+        CPPUNIT_ASSERT(read);
+        CPPUNIT_ASSERT(read->held == answer.held);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), read->configuration_version);
+        CPPUNIT_ASSERT(read->failure_age == answer.failure_age);
+        CPPUNIT_ASSERT(read->changes[0].entry->same_facts(entry("s1", 5)));
+        CPPUNIT_ASSERT(!read->changes[1].entry);
+    }
+
+    void damaged_messages_are_no_messages()
+    {
+        update_answer answer;
+        answer.changes = {{"s1", entry("s1", 5)}};
+        const std::string whole = encode_answer(answer);
+        std::mt19937 random(7);
+        for (int i = 0; i < 2000; ++i)
+        {
+            std::string bytes = whole;
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+            bytes.resize(1 + random() % bytes.size());
+            const auto read = decode_answer(bytes);
+            for (const auto& change :
+                 read ? read->changes : std::vector<entry_change>())
+            {
+                CPPUNIT_ASSERT(!change.entry || change.entry->address.port > 0);
+            }
+        }
+    }
+
+    void few_processes_read()
+    {
+        const auto named = [](int number, const std::string& zone)
+        {
+            return peer{incarnation(100 + static_cast<std::uint64_t>(number)),
+                        "g" + std::to_string(number),
+                        zone,
+                        {"10.0.0.1", static_cast<std::uint16_t>(number)},
+                        false};
+        };
+        for (const int size : {1, 5, 60})
+        {
+            int readers = 0;
+            for (int self = 1; self <= size; ++self)
+            {
+                peer_directory view({named(self, "z1")});
+                for (int other = 1; other <= size; ++other)
+                {
+                    view.heard(named(other, "z1"), boot_clock::now());
+                }
+                view.heard(named(500, "z2"), boot_clock::now());
+                for (const auto* one : view.readers())
+                {
+                    readers += one == &view.self() ? 1 : 0;
+                }
+            }
+            CPPUNIT_ASSERT_EQUAL(size < 24 ? 1 : 3, readers);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(published_entries_test);
+
+} // namespace mangolink::test
