--- a/src/connection/accepted_request.hpp
+++ b/src/connection/accepted_request.hpp
@@ -22,6 +22,7 @@
     std::string service;
     boot_clock::time_point arrival;
     boot_clock::time_point deadline;
+    milliseconds stages_expected{0}; ///< at the arrival
 };
 
 /// Answer of a request that has not run.
--- a/src/connection/request_check.cpp
+++ b/src/connection/request_check.cpp
@@ -4,6 +4,7 @@
 #include "connection/gateway_context.hpp"
 #include "connection/header_rules.hpp"
 #include "connection/stage_dispatcher.hpp"
+#include "request/stage_plan.hpp"
 #include "roles/gateway_settings.hpp"
 #include "roles/gateway_state.hpp"
 
@@ -129,7 +130,7 @@
     return std::nullopt;
 }
 
-std::optional<refusal> request_check::check_capacity() const
+std::optional<refusal> request_check::check_capacity()
 {
     if (time_left() < least_time)
     {
@@ -144,23 +145,19 @@
     return check_stage_time();
 }
 
-std::optional<refusal> request_check::check_stage_time() const
+std::optional<refusal> request_check::check_stage_time()
 {
-    milliseconds expected{0};
     const auto& stages = result_.route->stages;
-    const auto counted =
-        std::min(stages.size(), result_.facts.piece_counts.size());
-    for (std::size_t i = 0; i < counted; ++i)
-    {
-        if (result_.facts.piece_counts[i] > 0)
+    const stage_plan plan(stages, result_.facts.piece_counts);
+    const auto expected = plan.expected_time(
+        [&](std::uint32_t stage)
         {
             stage_demand demand;
-            demand.pieces = result_.facts.piece_counts[i];
-            demand.result_bytes = stages[i].result_bytes;
-            expected +=
-                context_.stages.expected_time(stages[i].service, demand);
-        }
-    }
+            demand.pieces = plan.pieces(stage);
+            demand.result_bytes = stages[stage].result_bytes;
+            return context_.stages.expected_time(stages[stage].service, demand);
+        });
+    result_.stages_expected = expected;
     const auto useful = std::min(
         time_left(), std::chrono::duration_cast<milliseconds>(
                          result_.route->latency_objective * admitted_lateness));
--- a/src/connection/request_check.hpp
+++ b/src/connection/request_check.hpp
@@ -37,8 +37,8 @@
     std::optional<refusal> check_process() const;
     std::optional<refusal> check_route();
     std::optional<refusal> check_customer();
-    std::optional<refusal> check_capacity() const;
-    std::optional<refusal> check_stage_time() const;
+    std::optional<refusal> check_capacity();
+    std::optional<refusal> check_stage_time();
     void choose_service();
     milliseconds time_left() const;
 
--- a/src/request/stage_plan.cpp
+++ b/src/request/stage_plan.cpp
@@ -1,6 +1,7 @@
 #include "request/stage_plan.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace mangolink
 {
@@ -168,6 +169,23 @@
     return longest;
 }
 
+milliseconds stage_plan::expected_time(
+    const std::function<milliseconds(std::uint32_t stage)>& time) const
+{
+    // Stages that as many must follow run side by side, see take_ready().
+    std::vector<milliseconds> by_distance(stages_.size(), milliseconds(0));
+    for (std::uint32_t stage = 0; stage < stages_.size(); ++stage)
+    {
+        if (!pieces_[stage].empty())
+        {
+            auto& slowest = by_distance[stages_after(stage)];
+            slowest = std::max(slowest, time(stage));
+        }
+    }
+    return std::accumulate(by_distance.begin(), by_distance.end(),
+                           milliseconds(0));
+}
+
 bool stage_plan::has_all(std::uint32_t stage) const
 {
     return std::all_of(pieces_[stage].begin(), pieces_[stage].end(),
--- a/src/request/stage_plan.hpp
+++ b/src/request/stage_plan.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "base/clock.hpp"
 #include "version/gateway_route.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -67,6 +69,16 @@
     /// Returns how many stages must still follow this one.
     std::uint32_t stages_after(std::uint32_t stage) const;
 
+    /// Returns how long all stages take together, given the time of each.
+    milliseconds expected_time(
+        const std::function<milliseconds(std::uint32_t stage)>& time) const;
+
+    /// Returns how many pieces a stage has.
+    std::size_t pieces(std::uint32_t stage) const
+    {
+        return pieces_[stage].size();
+    }
+
     const stage_definition& stage(std::uint32_t index) const
     {
         return stages_[index];
--- a/tests/unit/stage_plan_test.cpp
+++ b/tests/unit/stage_plan_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(a_chain_is_made_in_order);
     CPPUNIT_TEST(a_side_stage_waits_for_the_chain);
     CPPUNIT_TEST(results_are_given_up_once);
+    CPPUNIT_TEST(stages_side_by_side_count_once);
     CPPUNIT_TEST(lost_pieces_are_made_again);
     CPPUNIT_TEST_SUITE_END();
 
@@ -123,6 +124,31 @@
                 });
     }
 
+    void stages_side_by_side_count_once()
+    {
+        // A chain of three beside one that nothing follows.
+        const stage_plan plan({stage("side", {}), stage("a", {}),
+                               stage("b", {1}), stage("c", {2}),
+                               stage("unused", {2})},
+                              {4, 1, 8, 16, 0});
+        const auto time = [](std::uint32_t index)
+        { return milliseconds(index == 0 ? 500 : 100 * index); };
+        section("the side stage runs beside the last of the chain",
+                [&] {
+                    CPPUNIT_ASSERT(plan.expected_time(time) ==
+                                   milliseconds(100 + 200 + 500));
+                });
+        section("no stage, no time",
+                []
+                {
+                    const stage_plan none({stage("a", {})}, {0});
+                    CPPUNIT_ASSERT(none.expected_time(
+                                       [](std::uint32_t) {
+                                           return milliseconds(9);
+                                       }) == milliseconds(0));
+                });
+    }
+
     void lost_pieces_are_made_again()
     {
         stage_plan plan({stage("a", {}), stage("b", {0})}, {1, 1});
