Weigh shared prompts and regions by what they cost

The gain of a server that has the prefix stood at 0.02 ms a token against 60 ms for a region, though a thousand tokens cost 0.24 units and the bytes of a request some 0.03 to 0.11; so short prefixes never left their zone and were read in each, and long ones left their server for small differences of time.

The gain is 0.1 ms a token; a region costs its round trips and the bytes.

The test of a short prefix states the bytes of its request now; 300 tokens with 2,400 bytes stay in their zone as before.

--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -360,6 +360,7 @@
         accepted_.route->has_affinity ? accepted_.facts.affinity : 0;
     result.shared_tokens = accepted_.facts.shared_tokens;
     result.excluded = tried_;
+    result.bytes = request_.body().size();
     if (!stages_)
     {
         return result;
--- a/src/request/direct_balancer.cpp
+++ b/src/request/direct_balancer.cpp
@@ -18,18 +18,24 @@
 /// Weight of the newest answer in a server's time to the first byte.
 constexpr double time_weight = 0.2;
 
-/// Price of work outside the zone or region, as time a caller would wait.
+/// Prices are in the time that a caller would wait instead: half a second of
+/// waiting loses about as much as a unit of the users' prices.
+
+/// Price of work outside the zone or region: round trips.
 constexpr double zone_cost_ms = 8;
-constexpr double region_cost_ms = 60;
+constexpr double region_cost_ms = 24;
+
+/// Price of a byte that is sent to another region (12,000 units a GB).
+constexpr double region_byte_cost_ms = 0.0065;
 
 /// Price of reading a megabyte from another zone, in the same unit; the same
 /// as for stage servers.
 constexpr double megabyte_cost_ms = 50;
 
-/// Gain of a server that has the request's prompt prefix cached, a token: the
-/// time to read it, about as much again for those who wait behind it, and the
-/// price of reading it again.
-constexpr double token_gain_ms = 0.02;
+/// Gain of a server that has the request's prompt prefix cached, a token:
+/// reading it again costs 0.24 units a thousand tokens, and 0.01 ms for the
+/// request and each one that waits behind it.
+constexpr double token_gain_ms = 0.1;
 
 /// Part of the gain at the server that a zone's requests share, which has the
 /// prefix cached only if it was last asked for in the same zone.
@@ -223,7 +229,7 @@
                              ? pool.typical_ms
                              : row->first_byte_ms;
     double result = known * (1 + in_flight / std::max(1U, server.slots)) +
-                    in_flight * in_flight_cost_ms + distance_ms(server.zone);
+                    in_flight * in_flight_cost_ms + distance_ms(server.zone, wish.bytes);
     if (in_flight <=
         pool.mean_in_flight * affinity_load_factor + affinity_load_reserve)
     {
@@ -254,9 +260,12 @@
     return pool.shared_in_zone.at(server.zone) == &server ? zone_affinity : 0;
 }
 
-double direct_balancer::distance_ms(const std::string& zone) const
+double direct_balancer::distance_ms(const std::string& zone,
+                                    std::size_t bytes) const
 {
-    static constexpr double costs[] = {0, zone_cost_ms, region_cost_ms};
+    const double costs[] = {0, zone_cost_ms,
+                            region_cost_ms + region_byte_cost_ms *
+                                                 static_cast<double>(bytes)};
     return costs[static_cast<std::size_t>(place_.to(zone))];
 }
 
--- a/src/request/direct_balancer.hpp
+++ b/src/request/direct_balancer.hpp
@@ -22,6 +22,7 @@
     /// Bytes that the server will read from each zone.
     absl::flat_hash_map<std::string, std::uint64_t> bytes_in_zone;
     std::vector<std::string> excluded; ///< ids already tried
+    std::size_t bytes = 0;             ///< of the request itself
 };
 
 /// How a send to a server ended, for the judgement of the server.
@@ -104,7 +105,7 @@
                 const pool_view& pool) const;
     static double affinity(const backend_server& server,
                            const server_wish& wish, const pool_view& pool);
-    double distance_ms(const std::string& zone) const;
+    double distance_ms(const std::string& zone, std::size_t bytes) const;
 
     placement place_;
     absl::flat_hash_map<std::string, server_row> rows_;
--- a/tests/unit/direct_balancer_test.cpp
+++ b/tests/unit/direct_balancer_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST_SUITE(direct_balancer_test);
     CPPUNIT_TEST(equal_servers_take_turns);
     CPPUNIT_TEST(shared_prompts_meet_at_one_server);
+    CPPUNIT_TEST(what_a_request_weighs_keeps_it_in_its_region);
     CPPUNIT_TEST(failing_servers_are_set_aside_and_tried_again);
     CPPUNIT_TEST(a_pool_is_never_emptied);
     CPPUNIT_TEST(results_draw_requests_to_their_zone);
@@ -75,6 +76,7 @@
                 {
                     direct_balancer fresh({"g1", "a", {"a"}});
                     wish.shared_tokens = 300;
+                    wish.bytes = 2400;
                     for (std::uint64_t i = 1; i < 30; ++i)
                     {
                         wish.affinity = i;
@@ -85,6 +87,28 @@
                 });
     }
 
+    void what_a_request_weighs_keeps_it_in_its_region()
+    {
+        const auto leaves = [this](std::size_t bytes)
+        {
+            direct_balancer fresh({"g1", "a", {"a"}});
+            server_wish wish;
+            wish.shared_tokens = 6000;
+            wish.bytes = bytes;
+            int away = 0;
+            for (std::uint64_t i = 1; i <= 30; ++i)
+            {
+                wish.affinity = i;
+                away += fresh.choose(servers_, wish, now_)->zone == "b";
+            }
+            return away;
+        };
+        section("a long shared prompt goes wherever it was read",
+                [&] { CPPUNIT_ASSERT(leaves(9'000) > 0); });
+        section("unless its request costs more on the way",
+                [&] { CPPUNIT_ASSERT_EQUAL(0, leaves(200'000)); });
+    }
+
     void failing_servers_are_set_aside_and_tried_again()
     {
         fail("a1", 3);
