Correct expected stage times by what requests of the route met

stage_estimate learns the ratio by route from each request's stages, between 1 and 4, and corrects the expectation that refusing uses.

Ruled out: outlooks that are too old (beats each 184 ms, calls take 280 ms).

stage_estimate_test plays a burst on a server whose outlook shows a third of the work that waits: without the correction most requests end late.

--- a/src/connection/accepted_request.hpp
+++ b/src/connection/accepted_request.hpp
@@ -22,7 +22,8 @@
     std::string service;
     boot_clock::time_point arrival;
     boot_clock::time_point deadline;
-    milliseconds stages_expected{0}; ///< at the arrival
+    milliseconds stages_plain{0};    ///< by the servers' outlooks
+    milliseconds stages_expected{0}; ///< corrected by what others met
 };
 
 /// Answer of a request that has not run.
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -135,7 +135,13 @@
 
 asio::awaitable<bool> forward_run::make_stages()
 {
-    if (co_await stages_->make())
+    const bool made = co_await stages_->make();
+    if (!caller_gone_)
+    {
+        context_.state.stage_times().learn(
+            accepted_.route->name, accepted_.stages_plain, stages_->time());
+    }
+    if (made)
     {
         co_return true;
     }
--- a/src/connection/request_check.cpp
+++ b/src/connection/request_check.cpp
@@ -149,7 +149,7 @@
 {
     const auto& stages = result_.route->stages;
     const stage_plan plan(stages, result_.facts.piece_counts);
-    const auto expected = plan.expected_time(
+    result_.stages_plain = plan.expected_time(
         [&](std::uint32_t stage)
         {
             stage_demand demand;
@@ -157,6 +157,8 @@
             demand.result_bytes = stages[stage].result_bytes;
             return context_.stages.expected_time(stages[stage].service, demand);
         });
+    const auto expected = context_.state.stage_times().corrected(
+        result_.route->name, result_.stages_plain);
     result_.stages_expected = expected;
     const auto useful = std::min(
         time_left(), std::chrono::duration_cast<milliseconds>(
--- a/src/roles/gateway_state.hpp
+++ b/src/roles/gateway_state.hpp
@@ -4,6 +4,7 @@
 #include "process/backend_directory.hpp"
 #include "request/direct_balancer.hpp"
 #include "request/retry_allowance.hpp"
+#include "request/stage_estimate.hpp"
 #include "version/configuration_freshness.hpp"
 #include "version/gateway_configuration.hpp"
 
@@ -56,6 +57,7 @@
     backend_directory& directory() { return directory_; }
     const backend_directory& directory() const { return directory_; }
     direct_balancer& balancer() { return balancer_; }
+    stage_estimate& stage_times() { return stage_times_; }
 
 private:
     retry_allowance_settings allowance_settings_;
@@ -64,6 +66,7 @@
     configuration_freshness freshness_;
     backend_directory directory_;
     direct_balancer balancer_;
+    stage_estimate stage_times_;
     absl::flat_hash_map<std::string, retry_allowance> allowances_;
     bool listed_ = false;
 };
--- /dev/null
+++ b/tests/unit/stage_estimate_test.cpp
@@ -0,0 +1,109 @@
+#include "request/stage_estimate.hpp"
+#include "support/story.hpp"
+
+#include <algorithm>
+#include <deque>
+
+namespace mangolink::test
+{
+namespace
+{
+
+/// What callers of a played burst got.
+struct burst_result final
+{
+    unsigned in_time = 0;
+    unsigned late = 0;
+    unsigned refused = 0;
+};
+
+/// Plays a burst on one server that makes ten requests a second, while its
+/// outlook shows a third of the work that waits. Requests are refused when
+/// they are expected to take longer than a second.
+burst_result play_burst(bool corrected)
+{
+    constexpr milliseconds objective{1000};
+    constexpr milliseconds work{100};
+    stage_estimate estimate;
+    burst_result result;
+    milliseconds free_at{0};
+    struct running final
+    {
+        milliseconds ends;
+        milliseconds plain;
+        milliseconds took;
+    };
+    std::deque<running> open;
+    for (milliseconds now{0}; now < std::chrono::seconds(20);
+         now += milliseconds(40))
+    {
+        while (!open.empty() && open.front().ends <= now)
+        {
+            estimate.learn("r", open.front().plain, open.front().took);
+            open.pop_front();
+        }
+        const auto took = std::max(free_at, now) + work - now;
+        const auto plain = std::max(took / 3, work);
+        const auto expected =
+            corrected ? estimate.corrected("r", plain) : plain;
+        if (expected > objective)
+        {
+            ++result.refused;
+            continue;
+        }
+        free_at = now + took;
+        open.push_back({free_at, plain, took});
+        ++(took <= objective ? result.in_time : result.late);
+    }
+    return result;
+}
+
+} // namespace
+
+/// Load it answers: bursts in which the stage pools are full for seconds.
+class stage_estimate_test final : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(stage_estimate_test);
+    CPPUNIT_TEST(bursts_end_fewer_requests_late);
+    CPPUNIT_TEST(a_correction_is_bounded_and_forgotten);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void bursts_end_fewer_requests_late()
+    {
+        const auto plain = play_burst(false);
+        const auto learned = play_burst(true);
+        section("without it nearly all end late",
+                [&] { CPPUNIT_ASSERT(plain.late > plain.in_time); });
+        section("with it most of the server's work is in time",
+                [&]
+                {
+                    CPPUNIT_ASSERT(learned.in_time > 3 * learned.late);
+                    CPPUNIT_ASSERT(learned.in_time > 2 * plain.in_time);
+                });
+    }
+
+    void a_correction_is_bounded_and_forgotten()
+    {
+        stage_estimate estimate;
+        const milliseconds plain{200};
+        CPPUNIT_ASSERT(estimate.corrected("r", plain) == plain);
+        for (int i = 0; i < 100; ++i)
+        {
+            estimate.learn("r", plain, plain * 50);
+        }
+        CPPUNIT_ASSERT(estimate.corrected("r", plain) == plain * 4);
+        section("other routes are not touched", [&]
+                { CPPUNIT_ASSERT(estimate.corrected("s", plain) == plain); });
+        for (int i = 0; i < 100; ++i)
+        {
+            estimate.learn("r", plain, plain / 2);
+        }
+        section("fast stages do not make it hopeful", [&]
+                { CPPUNIT_ASSERT(estimate.corrected("r", plain) == plain); });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(stage_estimate_test);
+
+} // namespace mangolink::test
