Send fewer and smaller beats to other regions

With more than eight processes those of other regions get each third beat and may be silent for 1.9 s; addresses of others go with the first twenty beats and each seventh.

Ruled out: no beats between regions (orders for servers there would wait for a dead process until their limit; a start would not be noticed).

--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -84,8 +84,9 @@
           [this](const backend_server& server)
           { return connection_share(server); },
           metrics_),
-      peers_({describe(settings_)}), stages_(io_, settings_, protocol_, state_,
-                                             peers_, connections_, metrics_),
+      peers_({describe(settings_), settings_.own_region_zones()}),
+      stages_(io_, settings_, protocol_, state_, peers_, connections_,
+              metrics_),
       feed_(
           state_, [this] { surroundings_changed(); },
           [this](const std::string& id) { forget(id); }),
--- a/src/connection/peer_beats.cpp
+++ b/src/connection/peer_beats.cpp
@@ -28,6 +28,11 @@
 /// Addresses of others that a beat carries, so that all get to know all.
 constexpr std::size_t known_in_beat = 6;
 
+/// Which beats carry them: the first, so that a start is known soon, and then
+/// some. The number is odd to meet all three that far processes get.
+constexpr std::uint64_t early_beats = 20;
+constexpr std::uint64_t beats_per_known = 7;
+
 constexpr milliseconds seed_interval{2000};
 
 } // namespace
@@ -64,7 +69,7 @@
 void peer_beats::send_now()
 {
     const std::string bytes = encode();
-    for (const auto& address : peers_.contacts())
+    for (const auto& address : peers_.contacts(beat_++))
     {
         error_code error;
         const asio::ip::udp::endpoint to(
@@ -182,12 +187,15 @@
     {
         write_outlook(row.server, row.outlook, *beat.add_outlooks());
     }
-    auto known = peers_.alive();
-    std::shuffle(known.begin(), known.end(), random_);
-    known.resize(std::min(known.size(), known_in_beat));
-    for (const auto& address : known)
+    if (beat_ < early_beats || beat_ % beats_per_known == 0)
     {
-        beat.add_known(address.text());
+        auto known = peers_.alive();
+        std::shuffle(known.begin(), known.end(), random_);
+        known.resize(std::min(known.size(), known_in_beat));
+        for (const auto& address : known)
+        {
+            beat.add_known(address.text());
+        }
     }
     return beat.SerializeAsString();
 }
--- a/src/connection/peer_beats.hpp
+++ b/src/connection/peer_beats.hpp
@@ -56,6 +56,7 @@
     event_counter& sent_;
     event_counter& received_;
     event_counter& unreadable_;
+    std::uint64_t beat_ = 0; ///< sent so far
     absl::BitGen random_;
     asio::ip::udp::socket socket_;
     std::array<char, 64 * 1024> buffer_{};
--- a/src/process/peer_directory.cpp
+++ b/src/process/peer_directory.cpp
@@ -14,6 +14,11 @@
 
 constexpr std::size_t most_candidates = 64;
 
+/// With more processes than this, beats between regions cost more bytes than
+/// fresh knowledge of servers there is worth.
+constexpr std::size_t most_close = 8;
+constexpr std::uint64_t beats_per_far_beat = 3;
+
 /// Processes that one reader of the platform serves: each asks once a second,
 /// which takes some 0.3 ms.
 constexpr std::size_t followers_of_reader = 24;
@@ -78,7 +83,8 @@
     std::vector<std::string> silent;
     for (const auto& [name, row] : peers_)
     {
-        if (now - row.heard > settings_.silence_limit)
+        if (now - row.heard > (sparse(row.facts) ? settings_.far_silence_limit
+                                                 : settings_.silence_limit))
         {
             silent.push_back(name);
         }
@@ -104,9 +110,23 @@
     return result;
 }
 
-std::vector<socket_address> peer_directory::contacts() const
+bool peer_directory::sparse(const peer& one) const
 {
-    std::vector<socket_address> result = alive();
+    const auto& near = settings_.near_zones;
+    return peers_.size() > most_close && !near.empty() &&
+           std::find(near.begin(), near.end(), one.zone) == near.end();
+}
+
+std::vector<socket_address> peer_directory::contacts(std::uint64_t beat) const
+{
+    std::vector<socket_address> result;
+    for (const auto& [name, row] : peers_)
+    {
+        if (beat % beats_per_far_beat == 0 || !sparse(row.facts))
+        {
+            result.push_back(row.facts.address);
+        }
+    }
     for (const auto& row : candidates_)
     {
         if (std::find(result.begin(), result.end(), row.address) ==
--- a/src/process/peer_directory.hpp
+++ b/src/process/peer_directory.hpp
@@ -38,7 +38,11 @@
 struct peer_directory_settings final
 {
     peer self;
-    milliseconds silence_limit{900}; ///< four beats and a slow link
+    std::vector<std::string> near_zones; ///< of the own region; empty: all
+    milliseconds silence_limit{900};     ///< four beats and a slow link
+    /// The same for processes of other regions, which get fewer beats when
+    /// there are many processes.
+    milliseconds far_silence_limit{1900};
     milliseconds count_memory{20'000};
 };
 
@@ -62,9 +66,10 @@
     /// Forgets peers that were silent for too long; returns their names.
     std::vector<std::string> expire(boot_clock::time_point now);
 
-    /// Returns where beats should go: all peers, and addresses where one may
-    /// be.
-    std::vector<socket_address> contacts() const;
+    /// Returns where a beat of this number should go: peers, and addresses
+    /// where one may be. With many processes those of other regions get only
+    /// each third beat.
+    std::vector<socket_address> contacts(std::uint64_t beat) const;
 
     /// Returns the addresses of the peers that are alive.
     std::vector<socket_address> alive() const;
@@ -99,6 +104,8 @@
         peer facts;
         boot_clock::time_point heard;
     };
+    bool sparse(const peer& one) const;
+
     struct candidate final
     {
         socket_address address;
