--- a/src/connection/request_check.cpp
+++ b/src/connection/request_check.cpp
@@ -22,8 +22,10 @@
 
 /// A request whose stages are expected to take longer than this many times the
 /// route's objective is refused at once: its work would only make others late.
-/// Expectations are means, so some above the objective are still in time.
-constexpr double admitted_lateness = 1.3;
+/// Expectations are means, so some above the objective are still in time; the
+/// most urgent ones get that chance before others.
+constexpr double admitted_lateness = 1.0;
+constexpr double admitted_lateness_urgent = 1.3;
 
 /// Part of the process's memory that bodies of open requests may take; each
 /// is held twice while it is sent.
@@ -160,9 +162,12 @@
     const auto expected = context_.state.stage_times().corrected(
         result_.route->name, result_.stages_plain);
     result_.stages_expected = expected;
-    const auto useful = std::min(
-        time_left(), std::chrono::duration_cast<milliseconds>(
-                         result_.route->latency_objective * admitted_lateness));
+    const double lateness = result_.route->priority == 0
+                                ? admitted_lateness_urgent
+                                : admitted_lateness;
+    const auto useful =
+        std::min(time_left(), std::chrono::duration_cast<milliseconds>(
+                                  result_.route->latency_objective * lateness));
     if (stages.empty() || expected + engine_time <= useful)
     {
         return std::nullopt;
