--- a/src/connection/request_stages.cpp
+++ b/src/connection/request_stages.cpp
@@ -1,6 +1,7 @@
 #include "connection/request_stages.hpp"
 
 #include "connection/stage_dispatcher.hpp"
+#include "request/transfer_cost.hpp"
 
 #include <algorithm>
 
@@ -157,7 +158,11 @@
     }
     order->deadline = purpose_.deadline;
     order->preferred_zone = purpose_.preferred_zone;
-    order->preference = purpose_.preference;
+    // No more is waited for the zone than moving the results would cost.
+    const double moved =
+        transfer_cost_ms(definition.result_bytes * plan_.pieces(stage));
+    order->preference = std::min(
+        purpose_.preference, milliseconds(static_cast<std::int64_t>(moved)));
     order->stages_after = plan_.stages_after(stage);
     // The time by which the stages that follow must begin.
     order->due = purpose_.due -
--- a/src/request/direct_balancer.cpp
+++ b/src/request/direct_balancer.cpp
@@ -1,6 +1,7 @@
 #include "request/direct_balancer.hpp"
 
 #include "base/hash.hpp"
+#include "request/transfer_cost.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -28,10 +29,6 @@
 /// Price of a byte that is sent to another region (12,000 units a GB).
 constexpr double region_byte_cost_ms = 0.0065;
 
-/// Price of reading a megabyte from another zone, in the same unit; the same
-/// as for stage servers.
-constexpr double megabyte_cost_ms = 50;
-
 /// Gain of a server that has the request's prompt prefix cached, a token:
 /// reading it again costs 0.24 units a thousand tokens, and 0.01 ms for the
 /// request and each one that waits behind it.
@@ -229,7 +226,8 @@
                              ? pool.typical_ms
                              : row->first_byte_ms;
     double result = known * (1 + in_flight / std::max(1U, server.slots)) +
-                    in_flight * in_flight_cost_ms + distance_ms(server.zone, wish.bytes);
+                    in_flight * in_flight_cost_ms +
+                    distance_ms(server.zone, wish.bytes);
     if (in_flight <=
         pool.mean_in_flight * affinity_load_factor + affinity_load_reserve)
     {
@@ -238,10 +236,7 @@
     }
     for (const auto& [zone, bytes] : wish.bytes_in_zone)
     {
-        constexpr double megabyte = 1e6;
-        const double price =
-            megabyte_cost_ms * static_cast<double>(bytes) / megabyte;
-        result += zone == server.zone ? 0 : price;
+        result += zone == server.zone ? 0 : transfer_cost_ms(bytes);
     }
     return result;
 }
--- a/src/request/stage_router.cpp
+++ b/src/request/stage_router.cpp
@@ -1,6 +1,6 @@
 #include "request/stage_router.hpp"
 
-#include "base/hash.hpp"
+#include "request/transfer_cost.hpp"
 
 #include <algorithm>
 
@@ -17,11 +17,6 @@
 constexpr milliseconds zone_cost{10};
 constexpr milliseconds region_cost{45};
 
-/// Price of a megabyte that is read from another zone, in the same unit. An
-/// answer is worth about as much as 20 MB between zones cost, and waiting a
-/// second loses most of it.
-constexpr double megabyte_cost_ms = 50;
-
 /// Wait for room that a result which does not fit is expected to need.
 constexpr milliseconds room_wait{300};
 
@@ -63,11 +58,9 @@
         price += preferred ? milliseconds(0) : demand.preference;
         for (const auto& [zone, bytes] : demand.inputs_in_zone)
         {
-            constexpr double megabyte = 1e6;
             const double cost =
-                megabyte_cost_ms * static_cast<double>(bytes) / megabyte;
-            price += milliseconds(
-                zone == server->zone ? 0 : static_cast<std::int64_t>(cost));
+                zone == server->zone ? 0 : transfer_cost_ms(bytes);
+            price += milliseconds(static_cast<std::int64_t>(cost));
         }
         if (!best || price < least)
         {
