Give a restarted stage server all its room

Cause: a stage server that starts again under its id holds nothing of before, but its results went on being counted for up to their lifetime, so its first seconds were refused for lack of room. Found by reading.

Test: stage_queue_test::a_restarted_server_has_all_its_room. Not measured by itself.

--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -99,7 +99,13 @@
                    [](const auto& pair) { return pair.second->rests(); });
     for (auto& [id, row] : rows_)
     {
-        row->server = state_.directory().find(id);
+        auto next = state_.directory().find(id);
+        if (next && row->started_ms != next->started_ms)
+        {
+            row->started_ms = next->started_ms;
+            row->queue.room().restarted();
+        }
+        row->server = std::move(next);
         pump_soon(*row);
     }
 }
--- a/src/connection/stage_caller.hpp
+++ b/src/connection/stage_caller.hpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.hpp"
 #include "connection/asio_types.hpp"
+#include "process/backend_server.hpp"
 #include "request/stage_order.hpp"
 #include "request/stage_queue.hpp"
 
@@ -21,7 +22,6 @@
 class gateway_state;
 class metrics_registry;
 class stage_router;
-struct backend_server;
 
 /// Outlook of a server that this process makes the calls of.
 struct named_outlook final
@@ -71,10 +71,12 @@
     {
         server_row(std::shared_ptr<const backend_server> facts,
                    const stage_pool_figures& figures)
-            : server(std::move(facts)), queue(figures)
+            : server(std::move(facts)), started_ms(server->started_ms),
+              queue(figures)
         {
         }
         std::shared_ptr<const backend_server> server; ///< null: gone
+        std::uint64_t started_ms; ///< of the start that holds the results
         stage_queue queue;
         std::vector<std::string> to_free;
         bool pump_pending = false;
--- a/src/request/result_room.cpp
+++ b/src/request/result_room.cpp
@@ -36,6 +36,14 @@
     }
 }
 
+void result_room::restarted()
+{
+    results_.clear();
+    by_age_.clear();
+    kept_ = 0;
+    foreign_ = 0;
+}
+
 void result_room::observe_free(std::uint64_t bytes, boot_clock::time_point now)
 {
     const std::uint64_t known = reserved_ + kept_ + bytes;
--- a/src/request/result_room.hpp
+++ b/src/request/result_room.hpp
@@ -39,6 +39,9 @@
     /// Counts that a result was given up.
     void release(const std::string& handle);
 
+    /// Forgets every result: the server was started anew and holds none.
+    void restarted();
+
     /// Takes what the server says is free. What it holds besides the results
     /// counted here is of others, or of this process before a restart; it is
     /// gone after a result's lifetime at the latest.
--- a/tests/unit/stage_queue_test.cpp
+++ b/tests/unit/stage_queue_test.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(calls_collect_what_comes_meanwhile);
     CPPUNIT_TEST(what_can_be_in_time_goes_first);
     CPPUNIT_TEST(no_piece_is_sent_without_room);
+    CPPUNIT_TEST(a_restarted_server_has_all_its_room);
     CPPUNIT_TEST(room_that_others_fill_comes_back);
     CPPUNIT_TEST(late_requests_yield_to_full_batches);
     CPPUNIT_TEST(failed_servers_are_left_alone);
@@ -151,6 +152,25 @@
                 });
     }
 
+    void a_restarted_server_has_all_its_room()
+    {
+        result_room room(10'000, milliseconds(4000));
+        room.keep("before", 6000, now_);
+        room.reserve(1000);
+        room.observe_free(500, now_);
+        room.restarted();
+        section("but for what a call is about to make",
+                [&] {
+                    CPPUNIT_ASSERT_EQUAL(std::uint64_t(9000), room.free(now_));
+                });
+        section("a result of before that is given up frees nothing",
+                [&]
+                {
+                    room.release("before");
+                    CPPUNIT_ASSERT_EQUAL(std::uint64_t(9000), room.free(now_));
+                });
+    }
+
     void room_that_others_fill_comes_back()
     {
         result_room room(10'000, milliseconds(4000));
