Add a soak: random faults on real gateway processes

scripts/soak starts gateways before the stand-ins, with the fault proxy between them and the store and the servers, and plays a seeded series of overlapping faults: kill, kill all, stop, pause, reload; delay, cut, hold one way, drop, slow, reset; store away, losing answers or its history; servers that fail in ten ways, break streams, leave and return; keys that are taken away. Callers keep connections until the process is gone; some leave early, some use keys for too long. Checked from both ends: at most once, refusals true and with a time to return, answers and streams their own and in order, pieces with the inputs of their request, no key after its limit, service after all faults.

--- a/tests/platform/updates_test.cpp
+++ b/tests/platform/updates_test.cpp
@@ -107,7 +107,7 @@
         platform_site site;
         auto& cut_off = site.add_store();
         prepare(site);
-        auto& one = site.start_gateway({}, &cut_off);
+        auto& one = site.start_gateway({}, cut_off.address());
         auto& two = site.start_gateway();
         CPPUNIT_ASSERT(bench::wait_until(
             [&] { return one.reads_store() != two.reads_store(); }));
--- /dev/null
+++ b/tests/soak/soak_callers.cpp
@@ -0,0 +1,93 @@
+#include "soak/soak_callers.hpp"
+
+#include "soak/soak_site.hpp"
+
+#include <memory>
+#include <random>
+
+namespace mangolink::test
+{
+namespace
+{
+
+/// How long a caller waits; more than any request may take.
+constexpr milliseconds patience{9000};
+
+/// How long one waits that leaves early.
+constexpr milliseconds haste{30};
+
+} // namespace
+
+soak_callers::soak_callers(soak_site& site, std::uint64_t seed,
+                           unsigned callers)
+    : site_(site), records_(callers)
+{
+    for (unsigned i = 0; i < callers; ++i)
+    {
+        threads_.emplace_back([this, seed, i] { call(seed, i); });
+    }
+}
+
+soak_callers::~soak_callers()
+{
+    finish();
+}
+
+std::vector<soak_record> soak_callers::finish()
+{
+    stopping_ = true;
+    for (auto& thread : threads_)
+    {
+        thread.join();
+    }
+    threads_.clear();
+    std::vector<soak_record> all;
+    for (auto& list : records_)
+    {
+        all.insert(all.end(), list.begin(), list.end());
+        list.clear();
+    }
+    return all;
+}
+
+void soak_callers::call(std::uint64_t seed, unsigned number)
+{
+    std::mt19937_64 random(seed * 1000 + number);
+    std::unique_ptr<test_caller> connection;
+    std::string key = site_.key();
+    for (unsigned count = 0; !stopping_; ++count)
+    {
+        std::this_thread::sleep_for(milliseconds(random() % 25));
+        // A key is used on for a while after it was taken away.
+        key = random() % 40 == 0 ? site_.key() : key;
+        soak_record record;
+        record.id = "c" + std::to_string(number) + "-" + std::to_string(count);
+        record.kind = static_cast<soak_kind>(random() % 5);
+        record.key = random() % 4 == 0 ? key : test_key;
+        const bool hasty = random() % 20 == 0;
+        try
+        {
+            if (!connection)
+            {
+                const auto index = random() % site_.gateways();
+                connection = std::make_unique<test_caller>(
+                    site_.gateway(index).callers());
+            }
+        }
+        catch (const boost::system::system_error&)
+        {
+            continue; // the process is down: nothing was sent
+        }
+        record.sent = boot_clock::now();
+        const auto answer =
+            connection->ask(request_of(record), hasty ? haste : patience);
+        record.take(answer, connection->partial_body());
+        if (!answer || !answer->keep_alive())
+        {
+            connection.reset();
+        }
+        records_[number].push_back(std::move(record));
+    }
+}
+
+} // namespace mangolink::test
--- /dev/null
+++ b/tests/soak/soak_checks.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "soak/soak_record.hpp"
+
+#include <string>
+#include <vector>
+
+namespace mangolink::test
+{
+
+class soak_site;
+
+/// Compares what callers got with what servers ran; returns a line for each
+/// promise that was broken: nothing altered, delivered to another or made up;
+/// at most once; "not run" true; streams in order and whole; pieces with the
+/// inputs of their request; keys that were taken away stay away.
+std::vector<std::string> broken_promises(const soak_site& site,
+                                         const std::vector<soak_record>& all);
+
+/// Waits until every gateway serves again; returns a line for each that does
+/// not, and adds the requests it made.
+std::vector<std::string> not_recovered(soak_site& site,
+                                       std::vector<soak_record>& all);
+
+} // namespace mangolink::test
--- /dev/null
+++ b/tests/soak/soak_faults.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "base/clock.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace mangolink::test
+{
+
+class soak_site;
+
+/// Plays random faults on a site, in series and overlapping: processes that
+/// are stopped, paused, killed, restarted or told to read their settings;
+/// connections that are delayed, reset, cut, silenced one way; a store that is
+/// away, loses answers or its history; servers that fail, leave and return;
+/// keys that are taken away. Used by one thread.
+class soak_faults final
+{
+public:
+    soak_faults(soak_site& site, std::uint64_t seed);
+
+    /// Begins one fault and ends those whose time is over.
+    void step();
+
+    /// Ends every fault.
+    void heal();
+
+    /// Returns how often each fault was begun.
+    const std::map<std::string, unsigned>& counts() const { return counts_; }
+
+private:
+    struct pending_end final
+    {
+        boot_clock::time_point at;
+        std::function<void()> work;
+    };
+    struct fault final
+    {
+        const char* name;
+        void (soak_faults::*begin)();
+    };
+
+    void kill_process();
+    void kill_all();
+    void stop_process();
+    void pause_process();
+    void reload_process();
+    void harm_way();
+    void reset_ways();
+    void harm_store();
+    void drop_history();
+    void fail_server();
+    void break_stream();
+    void leave_server();
+    void fail_pool();
+    void change_key();
+
+    void end_after(milliseconds least, milliseconds most,
+                   std::function<void()> work);
+    void restart_after(std::size_t index, milliseconds least,
+                       milliseconds most);
+    std::uint64_t draw(std::uint64_t below) { return random_() % below; }
+
+    static const std::vector<fault>& faults();
+
+    soak_site& site_;
+    std::mt19937_64 random_;
+    std::vector<pending_end> ends_;
+    std::vector<bool> down_;   ///< by gateway: ending, or to be started
+    std::vector<bool> paused_; ///< by gateway
+    std::map<std::string, nlohmann::json> rules_; ///< by way
+    std::map<std::string, unsigned> counts_;
+};
+
+} // namespace mangolink::test
--- /dev/null
+++ b/tests/soak/soak_record.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "connection/asio_types.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace mangolink::test
+{
+
+/// Kinds of requests that callers of a soak make.
+enum class soak_kind : std::uint8_t
+{
+    status,     ///< idempotent
+    order,      ///< not idempotent
+    talk,       ///< stream that may be resumed
+    once,       ///< stream that may not
+    with_stages ///< idempotent, after two stages
+};
+
+/// One attempt of a caller and what it got.
+struct soak_record final
+{
+    std::string id;
+    soak_kind kind = soak_kind::status;
+    std::string key;
+    boot_clock::time_point sent;
+    unsigned status = 0;    ///< 0: no complete answer
+    std::string body;       ///< also the part of an answer that broke off
+    std::string signer;     ///< server that signed the answer; may be empty
+    bool come_back = false; ///< a refusal said when
+
+    /// Takes the answer, or what came of it.
+    void take(const std::optional<text_response>& answer,
+              const std::string& partial);
+};
+
+} // namespace mangolink::test
--- /dev/null
+++ b/tests/soak/soak_site.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "faultproxy/fault_proxy.hpp"
+#include "soak/soak_record.hpp"
+#include "support/platform_site.hpp"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace mangolink::test
+{
+
+/// Paths of the kinds, and how many pieces the two stages have.
+const char* path_of(soak_kind kind);
+
+/// Returns the request of a record.
+text_request request_of(const soak_record& record);
+
+constexpr unsigned first_pieces = 2;
+constexpr unsigned second_pieces = 3;
+
+/// Events of every stream.
+constexpr unsigned stream_events = 8;
+
+/// Gateways as processes before stand-ins of the platform; whatever goes
+/// between them and the store or a server passes a proxy that can harm it.
+class soak_site final
+{
+public:
+    soak_site(std::uint64_t seed, unsigned gateways);
+
+    platform_site& site() { return site_; }
+    std::size_t gateways() const { return gateways_; }
+    gateway_process& gateway(std::size_t index) { return site_.gateway(index); }
+
+    /// Returns the plain servers and the engines, in the order of names().
+    const std::vector<backend_standin*>& servers() const { return servers_; }
+    const std::vector<pool_standin*>& pools() const { return pools_; }
+
+    /// Returns the ways that rules can name: "store-N" and servers' ids.
+    const std::vector<std::string>& ways() const { return ways_; }
+
+    /// Puts the proxy's rules in force, one for each way that has one.
+    void set_rules(const std::map<std::string, nlohmann::json>& rules);
+
+    /// Takes the key in use away and gives out another.
+    void change_key();
+
+    /// Returns the key to use now.
+    std::string key() const;
+
+    /// Returns when each key was taken away.
+    std::map<std::string, boot_clock::time_point> taken_away() const;
+
+private:
+    std::string proxied(const std::string& name, const std::string& to);
+    void add_routes();
+
+    platform_site site_;
+    std::vector<backend_standin*> servers_;
+    std::vector<pool_standin*> pools_;
+    std::vector<std::string> ways_;
+    std::vector<bench::proxy_route> routes_;
+    std::unique_ptr<bench::fault_proxy> proxy_;
+    socket_address control_;
+    std::size_t gateways_;
+    mutable std::mutex mutex_;
+    unsigned key_number_ = 0;
+    std::map<std::string, boot_clock::time_point> taken_away_;
+};
+
+} // namespace mangolink::test
--- a/tests/support/platform_site.cpp
+++ b/tests/support/platform_site.cpp
@@ -157,6 +157,13 @@
     put("servers/" + id, value.dump());
 }
 
+void platform_site::set_address(const std::string& id,
+                                const std::string& address)
+{
+    entries_[id].address = address;
+    register_server(id, "ready");
+}
+
 void platform_site::unregister_server(const std::string& id)
 {
     store_.remove("servers/" + id);
@@ -205,7 +212,7 @@
 }
 
 gateway_process& platform_site::start_gateway(const std::string& more,
-                                              const store_standin* store)
+                                              const std::string& store)
 {
     std::vector<std::string> seeds;
     for (const auto& other : gateways_)
@@ -214,8 +221,7 @@
     }
     const std::string name = "gateway-" + std::to_string(gateways_.size() + 1);
     gateways_.push_back(std::make_unique<gateway_process>(
-        name, (store == nullptr ? store_ : *store).address(), seeds, folder_,
-        more));
+        name, store.empty() ? store_.address() : store, seeds, folder_, more));
     if (!bench::wait_until([this] { return gateways_.back()->ready(); }))
     {
         throw std::runtime_error("gateway is not ready: " +
--- a/tests/support/platform_site.hpp
+++ b/tests/support/platform_site.hpp
@@ -79,9 +79,16 @@
                               const std::string& service);
 
     /// Starts a gateway and waits until it is ready. `more`: settings besides
-    /// those of every gateway. `store`: the one it reads; null: the first.
+    /// those of every gateway. `store`: address of the one it reads; empty: the
+    /// first.
     gateway_process& start_gateway(const std::string& more = {},
-                                   const store_standin* store = nullptr);
+                                   const std::string& store = {});
+
+    /// Makes a server's entry name another address, as of a proxy before it.
+    void set_address(const std::string& id, const std::string& address);
+
+    /// Returns where the gateways' settings and logs are.
+    const std::string& folder() const { return folder_; }
 
     /// Adds a store that shows the same as the first, so that faults of the
     /// store can meet some gateways only.
--- a/tests/support/test_caller.cpp
+++ b/tests/support/test_caller.cpp
@@ -22,13 +22,14 @@
     return !error;
 }
 
-std::optional<text_response> test_caller::ask(const text_request& request)
+std::optional<text_response> test_caller::ask(const text_request& request,
+                                              milliseconds limit)
 {
     error_code error;
     text_request copy = request;
     copy.prepare_payload();
     http::write(socket_, copy, error);
-    return error ? std::nullopt : read_answer();
+    return error ? std::nullopt : read_answer(limit);
 }
 
 std::optional<text_response> test_caller::read_answer(milliseconds limit)
--- a/tests/support/test_caller.hpp
+++ b/tests/support/test_caller.hpp
@@ -22,7 +22,8 @@
     bool send(const std::string& bytes);
 
     /// Sends a request and reads its answer.
-    std::optional<text_response> ask(const text_request& request);
+    std::optional<text_response> ask(const text_request& request,
+                                     milliseconds limit = milliseconds(20'000));
 
     /// Reads the next answer; nothing when none came whole.
     std::optional<text_response>
