--- a/src/connection/update_follower.cpp
+++ b/src/connection/update_follower.cpp
@@ -40,7 +40,7 @@
                                  reading_turn& turn, backend_caller calls,
                                  metrics_registry& metrics)
     : io_(io), state_(state), feed_(feed), peers_(peers), turn_(turn),
-      calls_(std::move(calls)),
+      calls_(calls),
       taken_(metrics.counter("mangolink_updates_total", "how=\"taken\"")),
       failed_(metrics.counter("mangolink_updates_total", "how=\"failed\""))
 {
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -92,7 +92,7 @@
 std::string soak_site::proxied(const std::string& name, const std::string& to)
 {
     const auto port = static_cast<std::uint16_t>(first_port + routes_.size());
-    const std::string listen = control_.host + ":" + std::to_string(port);
+    std::string listen = control_.host + ":" + std::to_string(port);
     routes_.push_back({name, listen, to});
     ways_.push_back(name);
     return listen;
