End a stand-in engine before the context it waits on

The stand-in destroyed its server, with the context, before its engine, whose open streams hold timers of that context. Only that test leaves a stream open.

backend_standin stops the server's thread, then drops the engine, then the server. Product code is unchanged.

Seen: the four engine tests under the address sanitizer, three times, pass; before, the one failed (trace: ~live_bytes after ~closing_context).

--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -19,6 +19,14 @@
 {
 }
 
+backend_standin::~backend_standin()
+{
+    // The engine's streams wait on the server's context, which must outlive
+    // them; its thread must not use them any more.
+    server_.stop();
+    engine_.reset();
+}
+
 void backend_standin::add_faults(const std::vector<backend_fault>& faults)
 {
     const std::lock_guard lock(mutex_);
--- a/tests/standins/backend_standin.hpp
+++ b/tests/standins/backend_standin.hpp
@@ -48,6 +48,10 @@
 {
 public:
     explicit backend_standin(std::string id);
+    ~backend_standin();
+
+    backend_standin(const backend_standin&) = delete;
+    backend_standin& operator=(const backend_standin&) = delete;
 
     /// Makes following requests, in order, meet faults.
     void add_faults(const std::vector<backend_fault>& faults);
