Keep the server of a stage call from the decision to its end

If one of them removed the server's entry, the coroutine read a null server and dereferenced it. A gateway that owns stage servers of a busy zone meets this when servers leave while items are queued; all four sightings have a leaving or failing stage server just before.

Change: the decision and the call are one coroutine without a suspension between them, and the call holds its server.

Before: stage_caller_test ends with signal 11 (rc 139) after one handler.

--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -9,8 +9,6 @@
 #include "request/stage_router.hpp"
 #include "roles/gateway_state.hpp"
 
-#include <boost/asio/post.hpp>
-
 #include <algorithm>
 
 namespace mangolink
@@ -147,22 +145,28 @@
 
 void stage_caller::schedule_processing(server_entry& entry)
 {
-    // Tasks of a request arrive together; processing is posted so that one call
-    // can hold them all.
     if (entry.processing_scheduled)
     {
         return;
     }
     entry.processing_scheduled = true;
-    asio::post(io_,
-               [this, &entry]
-               {
-                   entry.processing_scheduled = false;
-                   process_queue(entry);
-               });
+    asio::co_spawn(io_, process_queue(entry), asio::detached);
+}
+
+asio::awaitable<void> stage_caller::process_queue(server_entry& entry)
+{
+    const auto user = entry.users;
+    entry.processing_scheduled = false;
+    auto items = take_next_call(entry);
+    if (!items.empty())
+    {
+        // The entry loses its server when that is removed during the call.
+        const auto server = entry.server;
+        co_await make_call(entry, server, std::move(items));
+    }
 }
 
-void stage_caller::process_queue(server_entry& entry)
+std::vector<waiting_item> stage_caller::take_next_call(server_entry& entry)
 {
     const auto now = boot_clock::now();
     const auto load_report = entry.queue.load_report(now);
@@ -170,7 +174,7 @@
                           has_alternative(*entry.server)))
     {
         return_items(entry.queue.remove_all(), stage_item_outcome::unsent);
-        return;
+        return {};
     }
     if (load_report.ejected_for > milliseconds(0))
     {
@@ -182,11 +186,7 @@
         entry.queue.configure(*pool_parameters);
     }
     return_items(entry.queue.remove_expired(now), stage_item_outcome::late);
-    auto items = entry.queue.begin_call(now);
-    if (!items.empty())
-    {
-        asio::co_spawn(io_, make_call(entry, std::move(items)), asio::detached);
-    }
+    return entry.queue.begin_call(now);
 }
 
 bool stage_caller::has_alternative(const backend_server& server) const
@@ -233,10 +233,9 @@
 }
 
 asio::awaitable<void> stage_caller::make_call(server_entry& entry,
+                                              server_pointer server,
                                               std::vector<waiting_item> items)
 {
-    const auto user = entry.users;
-    const auto server = entry.server;
     const auto start_time = boot_clock::now();
     const auto limit = entry.queue.call_timeout(items.size());
     const call_result result = co_await exchange(server, items, limit);
--- a/src/connection/stage_caller.hpp
+++ b/src/connection/stage_caller.hpp
@@ -99,13 +99,17 @@
     using server_pointer = std::shared_ptr<const backend_server>;
 
     server_entry* find_or_add_entry(const std::string& server);
+
+    /// Processes the queue after the handlers that are pending now, so that one
+    /// call can hold all tasks that they add.
     void schedule_processing(server_entry& entry);
-    void process_queue(server_entry& entry);
+    asio::awaitable<void> process_queue(server_entry& entry);
+    std::vector<waiting_item> take_next_call(server_entry& entry);
     bool has_alternative(const backend_server& server) const;
     void schedule_processing_after(server_entry& entry, milliseconds time);
     static void return_items(const std::vector<waiting_item>& items,
                              stage_item_outcome end);
-    asio::awaitable<void> make_call(server_entry& entry,
+    asio::awaitable<void> make_call(server_entry& entry, server_pointer server,
                                     std::vector<waiting_item> items);
     asio::awaitable<call_result>
     exchange(server_pointer server, const std::vector<waiting_item>& items,
--- /dev/null
+++ b/tests/platform/stage_caller_test.cpp
@@ -0,0 +1,139 @@
+#include "base/metrics.hpp"
+#include "connection/abortable_io_context.hpp"
+#include "connection/backend_caller.hpp"
+#include "connection/backend_pool.hpp"
+#include "connection/stage_caller.hpp"
+#include "platform/platform_protocol.hpp"
+#include "request/stage_router.hpp"
+#include "roles/gateway_settings.hpp"
+#include "roles/gateway_state.hpp"
+#include "support/section.hpp"
+
+namespace mangolink::test
+{
+namespace
+{
+
+/// Client that records how its only item ended.
+class single_item_client final : public stage_client
+{
+public:
+    bool wants_items() const override { return outcomes.empty(); }
+    void item_ended(stage_item, stage_item_answer answer) override
+    {
+        outcomes.push_back(answer.end);
+    }
+
+    std::vector<stage_item_outcome> outcomes;
+};
+
+/// Stage caller with one stage server, driven handler by handler.
+class caller_of_one_server final
+{
+public:
+    caller_of_one_server()
+        : connections_(
+              io_, [](const backend_server&) { return 4; }, metrics_),
+          calls_(io_, protocol_, connections_), state_(gateway_settings()),
+          router_({"gateway-1", "zone-a", {"zone-a"}}),
+          caller_(io_, protocol_, state_, router_, calls_, metrics_,
+                  [](const std::vector<std::string>&) {})
+    {
+        gateway_service service;
+        service.name = "encode";
+        service.pool = stage_pool_parameters();
+        service.pool->batch_size = 4;
+        service.pool->call_time = milliseconds(100);
+        service.pool->result_memory_bytes = 10'000;
+        gateway_configuration_data data;
+        data.version = 1;
+        data.services = {service};
+        state_.install(std::make_shared<gateway_configuration>(data));
+        backend_server server;
+        server.id = "encode-1";
+        server.service = "encode";
+        server.zone = "zone-a";
+        server.address = {"127.0.0.1", 1}; // refuses connections
+        state_.directory().put(server);
+    }
+
+    ~caller_of_one_server() { io_.destroy_pending_handlers(); }
+
+    void enqueue_item()
+    {
+        auto task = std::make_shared<stage_task>();
+        task->client = client;
+        task->request_id = "r1";
+        task->service = "encode";
+        task->items = {0};
+        task->due = boot_clock::now() + milliseconds(500);
+        task->deadline = task->due;
+        caller_.enqueue("encode-1", task);
+    }
+
+    void remove_server()
+    {
+        state_.directory().remove("encode-1", false, boot_clock::now());
+        caller_.servers_changed();
+    }
+
+    void run_handlers(int count)
+    {
+        for (int i = 0; i < count; ++i)
+        {
+            io_.poll_one();
+        }
+    }
+
+    void run_until_idle() { io_.run_for(milliseconds(200)); }
+
+    bool busy() const { return caller_.busy(); }
+
+    std::shared_ptr<single_item_client> client =
+        std::make_shared<single_item_client>();
+
+private:
+    abortable_io_context io_;
+    metrics_registry metrics_;
+    platform::platform_protocol protocol_;
+    backend_pool connections_;
+    backend_caller calls_;
+    gateway_state state_;
+    stage_router router_;
+    stage_caller caller_;
+};
+
+} // namespace
+
+/// Calls of a stage server whose entry is removed at any point of a call.
+class stage_caller_test final : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(stage_caller_test);
+    CPPUNIT_TEST(a_server_is_removed_while_a_call_begins);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void a_server_is_removed_while_a_call_begins()
+    {
+        constexpr int handlers_of_a_call = 8;
+        for (int handlers = 0; handlers <= handlers_of_a_call; ++handlers)
+        {
+            section("after " + std::to_string(handlers) + " handlers",
+                    [handlers]
+                    {
+                        caller_of_one_server calls;
+                        calls.enqueue_item();
+                        calls.run_handlers(handlers);
+                        calls.remove_server();
+                        calls.run_until_idle();
+                        CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                                             calls.client->outcomes.size());
+                        CPPUNIT_ASSERT(!calls.busy());
+                    });
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(stage_caller_test);
+
+} // namespace mangolink::test
