Let the owner of a stage server keep a task until its deadline

In bursts the expectation is short of the truth, so healthy owners lost their tasks: 216 tasks were taken over, the senders' calls found 111 servers full, which ejected these servers at both callers, and items were made twice. Owners and servers were sound; only slow.

Change: a task ends with the deadline of its request. Owners that fall silent are still replaced after the heartbeat timeout, failing connections at once, and silent connections by the keep-alive probes of the connection.

Test: stage_dispatcher_test, an owner that needs 2.5 s (fails before: the sender calls the server itself after 1.8 s).

--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -22,12 +22,6 @@
 constexpr milliseconds release_batch_delay{10};
 constexpr milliseconds release_timeout{1000};
 
-/// The timeout of a task sent to a live owner is this multiple of the expected
-/// time plus the margin. A task is aborted at once when its owner becomes
-/// unresponsive.
-constexpr int task_timeout_factor = 3;
-constexpr milliseconds task_timeout_margin{1500};
-
 } // namespace
 
 stage_dispatcher::stage_dispatcher(asio::io_context& io,
@@ -164,7 +158,8 @@
 stage_dispatcher::send_task(std::shared_ptr<const stage_task> task,
                             server_pointer server, peer owner)
 {
-    const auto limit = task_timeout(*task, *server);
+    const auto limit = std::chrono::duration_cast<milliseconds>(
+        task->deadline - boot_clock::now());
     text_request request = peer_request(
         owner, task_path, encode_task(*task, server->id, boot_clock::now()));
     auto to = to_backend_server(owner);
@@ -181,26 +176,10 @@
     log_warning("stage", "Task taken over: the owner does not respond.",
                 {{"id", task->request_id},
                  {"process", owner.name},
-                 {"server", server->id},
-                 {"limit_ms", std::to_string(limit.count())}});
+                 {"server", server->id}});
     caller_.enqueue(server->id, task);
 }
 
-milliseconds stage_dispatcher::task_timeout(const stage_task& task,
-                                            const backend_server& server) const
-{
-    const auto now = boot_clock::now();
-    const auto* pool_parameters = state_.find_stage_pool(task.service);
-    const auto expected = pool_parameters == nullptr
-                              ? milliseconds(0)
-                              : router_.expected_time(server, *pool_parameters,
-                                                      demand_of(task), now);
-    const auto remaining =
-        std::chrono::duration_cast<milliseconds>(task.deadline - now);
-    return std::min(remaining,
-                    expected * task_timeout_factor + task_timeout_margin);
-}
-
 bool stage_dispatcher::handle_reply(const stage_task& task,
                                     const std::optional<text_response>& answer)
 {
--- a/src/connection/stage_dispatcher.hpp
+++ b/src/connection/stage_dispatcher.hpp
@@ -26,8 +26,9 @@
 ///
 /// One process, the owner, batches the calls of a stage server, so that calls
 /// are full and the server never gets more than its memory can hold. Tasks for
-/// servers of other owners are sent to those. If an owner does not respond,
-/// this process takes the task over; an item may then be executed twice.
+/// servers of other owners are sent to those, which have until the deadline of
+/// the request. If an owner becomes unresponsive or its connection fails, this
+/// process takes the task over; an item may then be executed twice.
 /// Used by one thread.
 class stage_dispatcher final
 {
@@ -83,8 +84,6 @@
     stage_demand demand_of(const stage_task& task) const;
     asio::awaitable<void> send_task(std::shared_ptr<const stage_task> task,
                                     server_pointer server, peer owner);
-    milliseconds task_timeout(const stage_task& task,
-                              const backend_server& server) const;
     bool handle_reply(const stage_task& task,
                       const std::optional<text_response>& answer);
     asio::awaitable<void> route_releases();
--- /dev/null
+++ b/tests/platform/stage_dispatcher_test.cpp
@@ -0,0 +1,140 @@
+#include "base/metrics.hpp"
+#include "connection/abortable_io_context.hpp"
+#include "connection/backend_pool.hpp"
+#include "connection/stage_dispatcher.hpp"
+#include "connection/task_message.hpp"
+#include "platform/platform_protocol.hpp"
+#include "roles/gateway_settings.hpp"
+#include "roles/gateway_state.hpp"
+#include "standins/standin_server.hpp"
+#include "support/section.hpp"
+
+namespace mangolink::test
+{
+namespace
+{
+
+/// Client that records how its only item ended.
+class item_client final : public stage_client
+{
+public:
+    bool wants_items() const override { return outcomes.empty(); }
+    void item_ended(stage_item, stage_item_answer answer) override
+    {
+        outcomes.push_back(answer.end);
+    }
+
+    std::vector<stage_item_outcome> outcomes;
+};
+
+gateway_settings settings_of(const std::string& name)
+{
+    gateway_settings settings;
+    settings.name = name;
+    settings.zone = "zone-b";
+    return settings;
+}
+
+} // namespace
+
+/// Tasks for a stage server of another zone, whose owner is a stand-in.
+class stage_dispatcher_test final : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(stage_dispatcher_test);
+    CPPUNIT_TEST(a_slow_owner_keeps_its_task);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    stage_dispatcher_test()
+        : owner_(
+              [this](const text_request&, const standin_server::reply& reply)
+              {
+                  ++tasks_;
+                  const item_report made{0, {stage_item_outcome::made, "r"}};
+                  owner_.post([reply, made]
+                              { reply(scripted_answer::of(
+                                    200, encode_reply({made}))); },
+                              owner_time_);
+              }),
+          settings_(settings_of("gateway-2")), state_(settings_),
+          connections_(
+              io_, [](const backend_server&) { return 4; }, metrics_),
+          peers_({peer{incarnation(2), "gateway-2", "zone-b",
+                       socket_address{"127.0.0.1", 2}, false},
+                  {}}),
+          dispatcher_(io_, settings_, protocol_, state_, peers_, connections_,
+                      metrics_)
+    {
+    }
+
+    ~stage_dispatcher_test() override { io_.destroy_pending_handlers(); }
+
+    void a_slow_owner_keeps_its_task()
+    {
+        add_stage_server();
+        peers_.record_heartbeat(peer{incarnation(1), "gateway-1", "zone-a",
+                                     owner_.address(), false},
+                                boot_clock::now());
+        const auto client = std::make_shared<item_client>();
+        auto task = std::make_shared<stage_task>();
+        task->client = client;
+        task->request_id = "r1";
+        task->service = "encode";
+        task->items = {0};
+        task->deadline = boot_clock::now() + milliseconds(5000);
+        task->due = task->deadline;
+        dispatcher_.submit(task);
+        const auto begin = boot_clock::now();
+        while (client->outcomes.empty() &&
+               boot_clock::now() - begin < milliseconds(4500))
+        {
+            io_.run_for(milliseconds(20));
+        }
+        section("its result is used, and nobody else makes a call",
+                [&]
+                {
+                    CPPUNIT_ASSERT(client->outcomes ==
+                                   std::vector{stage_item_outcome::made});
+                    CPPUNIT_ASSERT_EQUAL(1, tasks_.load());
+                });
+    }
+
+private:
+    void add_stage_server()
+    {
+        gateway_service service;
+        service.name = "encode";
+        service.pool = stage_pool_parameters();
+        service.pool->batch_size = 4;
+        service.pool->call_time = milliseconds(100);
+        service.pool->result_memory_bytes = 10'000;
+        gateway_configuration_data data;
+        data.version = 1;
+        data.services = {service};
+        state_.install(std::make_shared<gateway_configuration>(data));
+        backend_server server;
+        server.id = "encode-1";
+        server.service = "encode";
+        server.zone = "zone-a";
+        server.address = {"127.0.0.1", 1}; // refuses connections
+        state_.directory().put(server);
+    }
+
+    /// Much longer than the expected time of an idle server.
+    static constexpr milliseconds owner_time_{2500};
+
+    std::atomic<int> tasks_{0};
+    standin_server owner_;
+    abortable_io_context io_{1};
+    platform::platform_protocol protocol_;
+    metrics_registry metrics_;
+    gateway_settings settings_;
+    gateway_state state_;
+    backend_pool connections_;
+    peer_directory peers_;
+    stage_dispatcher dispatcher_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(stage_dispatcher_test);
+
+} // namespace mangolink::test
