Give all stage servers of a pool in a zone one owner

Cause: on the large site each of 68 gateways chose a stage server by load reports that were up to 0.5 s old within a region and 1.5 s beyond it, while a call takes 0.2 s. Refusals and late answers followed.

Ruled out: too few servers (40 to 50 % of the pools' full batches are needed before bursts), processor time of gateways (0.009 cores mean), engines (13 % of their slots).

Change: the owner is chosen by rendezvous hash of service and zone instead of the server, weighted by the processor share that heartbeats now carry, so that gateways with half a core are preferred to those with a tenth. The owner places each task by the exact load of its servers; the server named by the sender only tells the zone. The router gets the owner's load after each change of a queue.

Alternatives: fresher load reports (the rate grows with the square of the fleet); two random choices by old reports (spreads, but still leaves servers idle); one owner of a whole service (tasks would cross regions).

--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -71,7 +71,7 @@
             settings.peer_address.empty()
                 ? socket_address()
                 : parse_address(settings.peer_address),
-            false};
+            false, settings.processor_share};
 }
 
 } // namespace
--- a/src/connection/peer_heartbeats.cpp
+++ b/src/connection/peer_heartbeats.cpp
@@ -38,6 +38,8 @@
 
 constexpr milliseconds seed_interval{2000};
 
+constexpr double weight_scale = 1000;
+
 } // namespace
 
 peer_heartbeats::peer_heartbeats(asio::io_context& io, peer_directory& peers,
@@ -152,7 +154,8 @@
     received_.add();
     const auto now = boot_clock::now();
     const peer from{incarnation(heartbeat.incarnation()), heartbeat.name(),
-                    heartbeat.zone(), *address, heartbeat.stopping()};
+                    heartbeat.zone(), *address, heartbeat.stopping(),
+                    std::max(1U, heartbeat.weight_permille()) / weight_scale};
     const auto change = peers_.record_heartbeat(from, now);
     for (const auto& text : heartbeat.known())
     {
@@ -189,6 +192,8 @@
     heartbeat.set_zone(self.zone);
     heartbeat.set_address(self.address.text());
     heartbeat.set_stopping(self.stopping);
+    heartbeat.set_weight_permille(std::max(
+        1U, static_cast<std::uint32_t>(self.weight * weight_scale)));
     for (const auto& report : stages_.load_reports())
     {
         write_load_report(report.server, report.load_report,
--- a/src/connection/peer_server.cpp
+++ b/src/connection/peer_server.cpp
@@ -180,7 +180,7 @@
     asio::co_spawn(
         io_, [socket, pending] { return watch_for_close(socket, pending); },
         asio::detached);
-    stages_.caller().enqueue(addressed->server, addressed->task);
+    stages_.accept(addressed->server, addressed->task);
     co_await pending->wait();
     error_code ignored; // ends watch_for_close(), the only pending wait
     socket->cancel(ignored);
--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -53,8 +53,7 @@
         return;
     }
     entry->queue.add(task);
-    router_.update_load_report(
-        server, entry->queue.load_report(boot_clock::now()), boot_clock::now());
+    update_router(*entry, server);
     schedule_processing(*entry);
 }
 
@@ -85,8 +84,8 @@
     {
         if (entry->server)
         {
-            result.push_back(
-                {id, entry->server->zone, entry->queue.load_report(now)});
+            result.push_back({id, entry->server->service, entry->server->zone,
+                              entry->queue.load_report(now)});
         }
     }
     return result;
@@ -186,7 +185,15 @@
         entry.queue.configure(*pool_parameters);
     }
     return_items(entry.queue.remove_expired(now), stage_item_outcome::late);
-    return entry.queue.begin_call(now);
+    auto items = entry.queue.begin_call(now);
+    update_router(entry, entry.server->id);
+    return items;
+}
+
+void stage_caller::update_router(server_entry& entry, const std::string& server)
+{
+    const auto now = boot_clock::now();
+    router_.update_load_report(server, entry.queue.load_report(now), now);
 }
 
 bool stage_caller::has_alternative(const backend_server& server) const
@@ -251,7 +258,7 @@
                      : result.shed    ? call_outcome::shed
                                       : call_outcome::answered;
     entry.queue.call_ended(items.size(), reserved, duration, end, now);
-    router_.update_load_report(server->id, entry.queue.load_report(now), now);
+    update_router(entry, server->id);
     log_call(entry, items.size(), duration, result);
     complete_items(entry, items, result);
     schedule_processing(entry);
--- a/src/connection/stage_caller.hpp
+++ b/src/connection/stage_caller.hpp
@@ -27,6 +27,7 @@
 struct named_load_report final
 {
     std::string server;
+    std::string service;
     std::string zone;
     server_load_report load_report;
 };
@@ -105,6 +106,8 @@
     void schedule_processing(server_entry& entry);
     asio::awaitable<void> process_queue(server_entry& entry);
     std::vector<waiting_item> take_next_call(server_entry& entry);
+    /// Makes the current load known to the router.
+    void update_router(server_entry& entry, const std::string& server);
     bool has_alternative(const backend_server& server) const;
     void schedule_processing_after(server_entry& entry, milliseconds time);
     static void return_items(const std::vector<waiting_item>& items,
--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -61,7 +61,7 @@
         }
         return;
     }
-    const peer* owner = peers_.owner_of(server->id, server->zone);
+    const peer* owner = peers_.owner_of(server->service, server->zone);
     if (owner == nullptr)
     {
         caller_.enqueue(server->id, task);
@@ -72,6 +72,22 @@
                    asio::detached);
 }
 
+void stage_dispatcher::accept(const std::string& server,
+                              const std::shared_ptr<const stage_task>& task)
+{
+    const auto expected = state_.directory().find(server);
+    const auto* pool_parameters = state_.find_stage_pool(task->service);
+    if (!expected || pool_parameters == nullptr)
+    {
+        caller_.enqueue(server, task); // returns the items as unsent
+        return;
+    }
+    const auto chosen = router_.choose_in_zone(
+        state_.directory().servers(task->service), expected->zone,
+        *pool_parameters, demand_of(*task), boot_clock::now());
+    caller_.enqueue(chosen ? chosen->id : server, task);
+}
+
 milliseconds stage_dispatcher::expected_time(const std::string& service,
                                              const stage_demand& demand) const
 {
@@ -109,7 +125,7 @@
     const auto now = boot_clock::now();
     std::erase_if(
         all, [this](const named_load_report& report)
-        { return peers_.owner_of(report.server, report.zone) != nullptr; });
+        { return peers_.owner_of(report.service, report.zone) != nullptr; });
     for (const auto& report : all)
     {
         router_.update_load_report(report.server, report.load_report, now);
@@ -223,7 +239,7 @@
         {
             continue; // the results were lost with their server
         }
-        const peer* owner = peers_.owner_of(server->id, server->zone);
+        const peer* owner = peers_.owner_of(server->service, server->zone);
         if (owner == nullptr)
         {
             caller_.enqueue_release(server->id, list);
--- a/src/connection/stage_dispatcher.hpp
+++ b/src/connection/stage_dispatcher.hpp
@@ -24,9 +24,11 @@
 
 /// Dispatches stage tasks to stage servers.
 ///
-/// One process, the owner, batches the calls of a stage server, so that calls
-/// are full and the server never gets more than its memory can hold. Tasks for
-/// servers of other owners are sent to those, which have until the deadline of
+/// One process, the owner, batches the calls of all stage servers of a pool in a
+/// zone. Calls are therefore full, no server gets more than its memory can hold,
+/// and the owner chooses among the servers by their exact load, while other
+/// processes know it from load reports only. Tasks for servers of other owners
+/// are sent to those, which have until the deadline of
 /// the request. If an owner becomes unresponsive or its connection fails, this
 /// process takes the task over; an item may then be executed twice.
 /// Used by one thread.
@@ -45,6 +47,11 @@
     /// Selects a server for the task and has its items executed.
     void submit(std::shared_ptr<const stage_task> task);
 
+    /// Accepts a task of another process for this server or another one of its
+    /// pool in the same zone, whichever is expected to finish first.
+    void accept(const std::string& server,
+                const std::shared_ptr<const stage_task>& task);
+
     /// Returns the expected execution time of items of a service.
     milliseconds expected_time(const std::string& service,
                                const stage_demand& demand) const;
--- a/src/process/peer_directory.cpp
+++ b/src/process/peer_directory.cpp
@@ -143,22 +143,32 @@
     return result;
 }
 
-const peer* peer_directory::owner_of(std::string_view server,
+const peer* peer_directory::owner_of(std::string_view service,
                                      std::string_view zone) const
 {
-    const auto rank = [server](const peer& process)
-    { return stable_hash(server, stable_hash(process.name)); };
-    const peer* best = &settings_.self;
-    int best_preference = zone_preference(*best, zone);
-    for (const auto& [name, entry] : peers_)
+    const peer* best = nullptr;
+    int best_preference = 0;
+    double best_rank = 0;
+    const auto consider = [&](const peer& process)
     {
-        const int preference = zone_preference(entry.info, zone);
-        if (preference > best_preference ||
-            (preference == best_preference && rank(entry.info) > rank(*best)))
+        const int preference = zone_preference(process, zone);
+        if (best != nullptr && preference < best_preference)
+        {
+            return;
+        }
+        const double rank = weighted_rank(
+            stable_hash(service, stable_hash(process.name)), process.weight);
+        if (best == nullptr || preference > best_preference || rank > best_rank)
         {
-            best = &entry.info;
+            best = &process;
             best_preference = preference;
+            best_rank = rank;
         }
+    };
+    consider(settings_.self);
+    for (const auto& [name, entry] : peers_)
+    {
+        consider(entry.info);
     }
     return best == &settings_.self ? nullptr : best;
 }
--- a/src/process/peer_directory.hpp
+++ b/src/process/peer_directory.hpp
@@ -23,6 +23,7 @@
     std::string zone;
     socket_address address; ///< receives tasks and heartbeats
     bool stopping = false;
+    double weight = 1; ///< processor share in cores, as a preference for owners
 };
 
 /// Change caused by a heartbeat of a peer.
@@ -47,7 +48,7 @@
 };
 
 /// Tracks by heartbeats which processes of the same role are alive, and
-/// determines which of them owns a backend server.
+/// determines which of them owns the backend servers of a pool in a zone.
 ///
 /// The views of two processes may differ temporarily, so that the owner is not
 /// unique. Correctness must not depend on it, only efficiency. Not thread-safe.
@@ -75,9 +76,9 @@
     /// Returns the addresses of all live peers.
     std::vector<socket_address> live_addresses() const;
 
-    /// Returns the peer that owns a server in a zone, or null if this process
-    /// owns it.
-    const peer* owner_of(std::string_view server, std::string_view zone) const;
+    /// Returns the peer that owns the servers of a service in a zone, or null if
+    /// this process owns them.
+    const peer* owner_of(std::string_view service, std::string_view zone) const;
 
     /// Returns the processes that read the platform on behalf of the own zone:
     /// a few chosen by rendezvous hashing, none of them stopping. This process
--- a/src/roles/gateway_settings.cpp
+++ b/src/roles/gateway_settings.cpp
@@ -22,6 +22,8 @@
     result.level = read_log_level(reader, "instance.log_level");
     result.max_descriptors = static_cast<std::uint32_t>(reader.integer(
         "instance.max_descriptors", result.max_descriptors, 64, 1'000'000));
+    result.processor_share = reader.number(
+        "instance.processor_share", result.processor_share, 0.001, 10'000);
     result.memory_bytes = static_cast<std::uint64_t>(
         reader.integer("instance.memory_mb", 256, 32, 1'000'000) * megabyte);
     result.caller_address = reader.required_address("gateway.callers");
--- a/src/roles/gateway_settings.hpp
+++ b/src/roles/gateway_settings.hpp
@@ -33,6 +33,7 @@
     milliseconds retry_window{10'000};
     double retry_slack = 0; ///< shared by all gateways
     std::uint32_t max_descriptors = 1024;
+    double processor_share = 1; ///< in cores
     std::uint64_t memory_bytes = 256ULL * 1024 * 1024;
 
     /// Reads all settings; errors are collected in the reader.
--- a/tests/standins/standin_server.cpp
+++ b/tests/standins/standin_server.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <future>
+
 namespace mangolink::test
 {
 
@@ -92,8 +94,9 @@
 
 void standin_server::set_unreachable(bool unreachable)
 {
+    std::promise<void> done;
     post(
-        [this, unreachable]
+        [this, unreachable, &done]
         {
             unreachable_ = unreachable;
             for (const auto& weak : connections_)
@@ -104,7 +107,9 @@
                 }
             }
             connections_.clear();
+            done.set_value();
         });
+    done.get_future().wait();
 }
 
 asio::awaitable<void> standin_server::accept_loop()
--- a/tests/standins/standin_server.hpp
+++ b/tests/standins/standin_server.hpp
@@ -100,6 +100,7 @@
     void stop();
 
     /// Refuses new connections and closes the open ones; the port stays bound.
+    /// Returns when that is in force. Not called on the thread of the server.
     void set_unreachable(bool unreachable);
 
 private:
