Send heartbeats by distance and derive timeouts from their interval

Cause: heartbeats grew slower for all peers alike as the fleet grew: 515 ms at 68 gateways, although nearly all tasks stay in a zone. Timeouts stayed at 0.9 and 1.9 s, so that beyond some 120 gateways of a region the interval passes the timeout and every peer would expire and join again all the time; one lost datagram between regions was enough at 68.

Change: peers of the zone get each heartbeat, others of the region each third, other regions each ninth; the interval follows the mean number of targets. A heartbeat announces its interval, and a process is unresponsive after three of them and 450 ms, whatever the fleet's size.

Tests: distant_processes_get_fewer_heartbeats is rewritten for three distances and for both sides of each timeout (before it knew two distances and one point in time); a_large_zone_stays_responsive (fails before: 299 of 299 peers expire).

--- a/src/connection/peer_heartbeats.cpp
+++ b/src/connection/peer_heartbeats.cpp
@@ -23,7 +23,7 @@
 
 /// The interval grows with the number of processes, so that each process sends
 /// and receives at most about this many datagrams per second.
-constexpr std::int64_t max_datagrams_per_second = 130;
+constexpr double max_datagrams_per_second = 130;
 
 /// Number of peer addresses in a heartbeat, by which processes discover each
 /// other.
@@ -31,8 +31,8 @@
 
 /// The first heartbeats carry addresses, so that a new process is discovered
 /// quickly, and then one in every heartbeats_per_address_list. Distant
-/// processes get every third heartbeat, so the number must not be a multiple
-/// of 3.
+/// processes get every third or ninth heartbeat, so the number must not be a
+/// multiple of 3.
 constexpr std::uint64_t initial_heartbeats = 20;
 constexpr std::uint64_t heartbeats_per_address_list = 7;
 
@@ -129,14 +129,18 @@
             changed_();
         }
         send_now();
-        const auto peers = static_cast<std::int64_t>(peers_.size());
-        const milliseconds interval =
-            std::max(min_interval,
-                     milliseconds(1000 * peers / max_datagrams_per_second));
-        co_await pause(io_, interval);
+        co_await pause(io_, interval());
     }
 }
 
+milliseconds peer_heartbeats::interval() const
+{
+    const double needed_ms =
+        1000 * peers_.mean_heartbeat_targets() / max_datagrams_per_second;
+    return std::max(min_interval,
+                    milliseconds(static_cast<std::int64_t>(needed_ms)));
+}
+
 void peer_heartbeats::process_datagram(std::size_t size)
 {
     wire::gateway_heartbeat heartbeat;
@@ -155,7 +159,8 @@
     const auto now = boot_clock::now();
     const peer from{incarnation(heartbeat.incarnation()), heartbeat.name(),
                     heartbeat.zone(), *address, heartbeat.stopping(),
-                    std::max(1U, heartbeat.weight_permille()) / weight_scale};
+                    std::max(1U, heartbeat.weight_permille()) / weight_scale,
+                    milliseconds(heartbeat.interval_ms())};
     const auto change = peers_.record_heartbeat(from, now);
     for (const auto& text : heartbeat.known())
     {
@@ -192,6 +197,7 @@
     heartbeat.set_zone(self.zone);
     heartbeat.set_address(self.address.text());
     heartbeat.set_stopping(self.stopping);
+    heartbeat.set_interval_ms(static_cast<std::uint32_t>(interval().count()));
     heartbeat.set_weight_permille(std::max(
         1U, static_cast<std::uint32_t>(self.weight * weight_scale)));
     for (const auto& report : stages_.load_reports())
--- a/src/connection/peer_heartbeats.hpp
+++ b/src/connection/peer_heartbeats.hpp
@@ -44,6 +44,9 @@
 private:
     asio::awaitable<void> receive_loop();
     asio::awaitable<void> send_loop();
+
+    /// Returns the time between two heartbeats.
+    milliseconds interval() const;
     void process_datagram(std::size_t size);
     std::string encode();
     void add_seed_addresses(boot_clock::time_point now);
--- a/src/process/peer_directory.cpp
+++ b/src/process/peer_directory.cpp
@@ -14,10 +14,13 @@
 
 constexpr std::size_t max_candidates = 64;
 
-/// Above this number of peers the traffic of heartbeats between regions costs
-/// more than up-to-date load data of remote servers is worth.
+/// Above this number of peers the traffic of heartbeats to distant processes
+/// costs more than up-to-date load data of remote servers is worth.
 constexpr std::size_t max_peers_at_full_rate = 8;
-constexpr std::uint64_t far_heartbeat_interval = 3;
+
+/// One in this many heartbeats is sent to a process at a distance (same zone,
+/// same region, another region). Nearly all tasks stay in the zone.
+constexpr std::uint64_t heartbeat_strides[] = {1, 3, 9};
 
 /// Number of processes that one reader of the platform serves. Each of them
 /// polls it once a second, which takes about 0.3 ms.
@@ -85,9 +88,7 @@
     std::vector<std::string> unresponsive;
     for (const auto& [name, entry] : peers_)
     {
-        if (now - entry.last_heartbeat > (has_reduced_heartbeats(entry.info)
-                                              ? settings_.far_heartbeat_timeout
-                                              : settings_.heartbeat_timeout))
+        if (now - entry.last_heartbeat > heartbeat_timeout(entry.info))
         {
             unresponsive.push_back(name);
         }
@@ -113,11 +114,41 @@
     return result;
 }
 
-bool peer_directory::has_reduced_heartbeats(const peer& process) const
+distance peer_directory::distance_to(const peer& process) const
 {
     const auto& zones = settings_.region_zones;
-    return peers_.size() > max_peers_at_full_rate && !zones.empty() &&
-           std::find(zones.begin(), zones.end(), process.zone) == zones.end();
+    const bool near = process.zone == settings_.self.zone || zones.empty();
+    const bool in_region = std::find(zones.begin(), zones.end(),
+                                     process.zone) != zones.end();
+    return near        ? distance::same_zone
+           : in_region ? distance::same_region
+                       : distance::other_region;
+}
+
+std::uint64_t peer_directory::heartbeat_stride(const peer& process) const
+{
+    return peers_.size() > max_peers_at_full_rate
+               ? heartbeat_strides[static_cast<std::size_t>(
+                     distance_to(process))]
+               : 1;
+}
+
+milliseconds peer_directory::heartbeat_timeout(const peer& process) const
+{
+    constexpr int missed_heartbeats = 3;
+    const auto stride = static_cast<std::int64_t>(heartbeat_stride(process));
+    return process.heartbeat_interval * stride * missed_heartbeats +
+           settings_.silence_margin;
+}
+
+double peer_directory::mean_heartbeat_targets() const
+{
+    double mean = 0;
+    for (const auto& [name, entry] : peers_)
+    {
+        mean += 1.0 / static_cast<double>(heartbeat_stride(entry.info));
+    }
+    return mean;
 }
 
 std::vector<socket_address>
@@ -126,8 +157,7 @@
     std::vector<socket_address> result;
     for (const auto& [name, entry] : peers_)
     {
-        if (heartbeat_number % far_heartbeat_interval == 0 ||
-            !has_reduced_heartbeats(entry.info))
+        if (heartbeat_number % heartbeat_stride(entry.info) == 0)
         {
             result.push_back(entry.info.address);
         }
--- a/src/process/peer_directory.hpp
+++ b/src/process/peer_directory.hpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 #include "base/incarnation.hpp"
 #include "base/socket_address.hpp"
+#include "process/placement.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -24,6 +25,7 @@
     socket_address address; ///< receives tasks and heartbeats
     bool stopping = false;
     double weight = 1; ///< processor share in cores, as a preference for owners
+    milliseconds heartbeat_interval{150}; ///< announced by the process
 };
 
 /// Change caused by a heartbeat of a peer.
@@ -40,10 +42,9 @@
 {
     peer self;
     std::vector<std::string> region_zones; ///< own region; empty: all
-    milliseconds heartbeat_timeout{900}; ///< four heartbeats and a slow network
-    /// Timeout for processes of other regions. With many processes heartbeats
-    /// between regions are sent less often.
-    milliseconds far_heartbeat_timeout{1900};
+    /// A process is unresponsive after this time in addition to three of its
+    /// heartbeat intervals.
+    milliseconds silence_margin{450};
     milliseconds process_count_window{20'000};
 };
 
@@ -69,10 +70,13 @@
 
     /// Returns the addresses to which the heartbeat with this number is sent:
     /// those of peers and of candidates. With many processes, peers in other
-    /// regions get only every third heartbeat.
+    /// zones get only some of the heartbeats, in other regions still fewer.
     std::vector<socket_address>
     heartbeat_targets(std::uint64_t heartbeat_number) const;
 
+    /// Returns the mean number of peers that a heartbeat is sent to.
+    double mean_heartbeat_targets() const;
+
     /// Returns the addresses of all live peers.
     std::vector<socket_address> live_addresses() const;
 
@@ -106,7 +110,9 @@
         peer info;
         boot_clock::time_point last_heartbeat;
     };
-    bool has_reduced_heartbeats(const peer& process) const;
+    distance distance_to(const peer& process) const;
+    std::uint64_t heartbeat_stride(const peer& process) const;
+    milliseconds heartbeat_timeout(const peer& process) const;
 
     struct candidate final
     {
--- a/tests/unit/published_entries_test.cpp
+++ b/tests/unit/published_entries_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(messages_round_trip);
     CPPUNIT_TEST(corrupted_messages_are_rejected);
     CPPUNIT_TEST(distant_processes_get_fewer_heartbeats);
+    CPPUNIT_TEST(a_large_zone_stays_responsive);
     CPPUNIT_TEST(few_processes_read_the_store);
     CPPUNIT_TEST_SUITE_END();
 
@@ -143,24 +144,46 @@
             peer_directory view({make_peer(0, "z1"), {"z1", "z2"}});
             for (int i = 1; i <= others; ++i)
             {
-                view.record_heartbeat(make_peer(i, i % 2 == 0 ? "z2" : "far"),
-                                      now);
+                const char* const zones[] = {"z1", "z2", "far", "far"};
+                view.record_heartbeat(make_peer(i, zones[i % 4]), now);
             }
             const auto all = static_cast<std::size_t>(others);
-            const auto sparse = others > 8 ? all / 2 : all;
+            const bool reduced = others > 8;
+            const auto in_zone = reduced ? all / 4 : all;
+            const auto in_region = reduced ? all / 2 : all;
             CPPUNIT_ASSERT_EQUAL(all, view.heartbeat_targets(0).size());
-            CPPUNIT_ASSERT_EQUAL(sparse, view.heartbeat_targets(1).size());
-            CPPUNIT_ASSERT_EQUAL(all, view.heartbeat_targets(3).size());
-            section("distant processes stay responsive between heartbeats",
+            CPPUNIT_ASSERT_EQUAL(in_zone, view.heartbeat_targets(1).size());
+            CPPUNIT_ASSERT_EQUAL(in_region, view.heartbeat_targets(3).size());
+            CPPUNIT_ASSERT_EQUAL(all, view.heartbeat_targets(9).size());
+            section("a process is unresponsive after three of its heartbeats",
                     [&]
                     {
-                        const auto unresponsive =
-                            view.expire(now + milliseconds(1500));
-                        CPPUNIT_ASSERT_EQUAL(sparse, unresponsive.size());
+                        const auto expired = [&](int ms) {
+                            return view.expire(now + milliseconds(ms)).size();
+                        };
+                        CPPUNIT_ASSERT_EQUAL(std::size_t(0), expired(890));
+                        CPPUNIT_ASSERT_EQUAL(in_zone, expired(910));
+                        CPPUNIT_ASSERT_EQUAL(reduced ? in_region - in_zone : 0,
+                                             expired(1810));
+                        CPPUNIT_ASSERT_EQUAL(all - in_region, expired(4510));
                     });
         }
     }
 
+    void a_large_zone_stays_responsive()
+    {
+        const auto now = boot_clock::now();
+        peer_directory view({make_peer(0, "z1"), {"z1"}});
+        for (int i = 1; i < 300; ++i)
+        {
+            auto other = make_peer(i, "z1");
+            other.heartbeat_interval = milliseconds(2300);
+            view.record_heartbeat(other, now);
+        }
+        section("although its processes send few heartbeats", [&]
+                { CPPUNIT_ASSERT(view.expire(now + milliseconds(2500)).empty()); });
+    }
+
     void few_processes_read_the_store()
     {
         for (const int size : {1, 5, 60})
