Send no extra heartbeats to candidates that are peers

Cause: every heartbeat tells addresses of six peers, which receivers keep as candidates, and each heartbeat goes to all candidates. A distant peer was a candidate nearly always, so the stride for distant peers had no effect, and bytes between regions were the largest price once heartbeats were faster.

Change: an address that belongs to a live peer is no candidate. A set of the peers' addresses replaces the search in each heartbeat.

--- a/src/base/socket_address.hpp
+++ b/src/base/socket_address.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace mangolink
 {
@@ -26,6 +27,12 @@
 
     friend bool operator==(const socket_address&,
                            const socket_address&) = default;
+
+    template <typename Hash>
+    friend Hash AbslHashValue(Hash state, const socket_address& address)
+    {
+        return Hash::combine(std::move(state), address.host, address.port);
+    }
 };
 
 } // namespace mangolink
--- a/src/connection/update_message.cpp
+++ b/src/connection/update_message.cpp
@@ -108,7 +108,8 @@
     for (const auto& entry : message.entries())
     {
         auto change = read_change(entry);
-        if (!change)
+        const bool removal = change && !change->entry;
+        if (!change || (removal && response.is_snapshot))
         {
             return std::nullopt;
         }
--- a/src/process/peer_directory.cpp
+++ b/src/process/peer_directory.cpp
@@ -36,7 +36,8 @@
 } // namespace
 
 peer_directory::peer_directory(peer_directory_settings settings)
-    : settings_(std::move(settings))
+    : settings_(std::move(settings)),
+      place_{settings_.self.name, settings_.self.zone, settings_.region_zones}
 {
 }
 
@@ -57,6 +58,16 @@
                  : from.stopping && !known.stopping ? peer_change::stopping
                                                     : peer_change::none;
     }
+    if (change != peer_change::none)
+    {
+        if (found != peers_.end())
+        {
+            peer_addresses_.erase(found->second.info.address);
+        }
+        peer_addresses_.insert(from.address);
+        std::erase_if(candidates_, [&from](const candidate& entry)
+                      { return entry.address == from.address; });
+    }
     peers_[from.name] = {from, now};
     return change;
 }
@@ -64,7 +75,7 @@
 void peer_directory::add_candidate(const socket_address& address,
                                    boot_clock::time_point now)
 {
-    if (address == settings_.self.address)
+    if (address == settings_.self.address || peer_addresses_.contains(address))
     {
         return;
     }
@@ -96,7 +107,9 @@
     for (const auto& name : unresponsive)
     {
         // The peer may come back at the same address.
-        add_candidate(peers_[name].info.address, now);
+        const socket_address address = peers_[name].info.address;
+        peer_addresses_.erase(address);
+        add_candidate(address, now);
         peers_.erase(name);
     }
     std::erase_if(candidates_, [now](const candidate& entry)
@@ -116,13 +129,8 @@
 
 distance peer_directory::distance_to(const peer& process) const
 {
-    const auto& zones = settings_.region_zones;
-    const bool near = process.zone == settings_.self.zone || zones.empty();
-    const bool in_region = std::find(zones.begin(), zones.end(),
-                                     process.zone) != zones.end();
-    return near        ? distance::same_zone
-           : in_region ? distance::same_region
-                       : distance::other_region;
+    return settings_.region_zones.empty() ? distance::same_zone
+                                          : place_.to(process.zone);
 }
 
 std::uint64_t peer_directory::heartbeat_stride(const peer& process) const
@@ -164,11 +172,7 @@
     }
     for (const auto& entry : candidates_)
     {
-        if (std::find(result.begin(), result.end(), entry.address) ==
-            result.end())
-        {
-            result.push_back(entry.address);
-        }
+        result.push_back(entry.address);
     }
     return result;
 }
--- a/src/process/peer_directory.hpp
+++ b/src/process/peer_directory.hpp
@@ -6,6 +6,7 @@
 #include "process/placement.hpp"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <deque>
 #include <optional>
@@ -61,7 +62,8 @@
     /// Records a heartbeat of a peer.
     peer_change record_heartbeat(const peer& from, boot_clock::time_point now);
 
-    /// Adds an address at which a peer may be reachable.
+    /// Adds an address at which a process may be reachable that is not yet a
+    /// peer.
     void add_candidate(const socket_address& address,
                        boot_clock::time_point now);
 
@@ -126,7 +128,9 @@
     };
 
     peer_directory_settings settings_;
+    placement place_;
     absl::flat_hash_map<std::string, peer_entry> peers_;
+    absl::flat_hash_set<socket_address> peer_addresses_;
     std::vector<candidate> candidates_;
     std::deque<count_sample> counts_;
 };
--- a/tests/unit/published_entries_test.cpp
+++ b/tests/unit/published_entries_test.cpp
@@ -121,6 +121,14 @@
         update_response answer;
         answer.changes = {{"s1", make_entry("s1", 5)}};
         const std::string valid_message = encode_update_response(answer);
+        section("a snapshot without the entry of a server is rejected",
+                [answer]() mutable
+                {
+                    answer.is_snapshot = true;
+                    answer.changes.push_back({"s2", std::nullopt});
+                    CPPUNIT_ASSERT(!decode_update_response(
+                        encode_update_response(answer)));
+                });
         std::mt19937 random(7);
         for (int i = 0; i < 2000; ++i)
         {
@@ -155,6 +163,13 @@
             CPPUNIT_ASSERT_EQUAL(in_zone, view.heartbeat_targets(1).size());
             CPPUNIT_ASSERT_EQUAL(in_region, view.heartbeat_targets(3).size());
             CPPUNIT_ASSERT_EQUAL(all, view.heartbeat_targets(9).size());
+            section("also if others tell its address",
+                    [&]
+                    {
+                        view.add_candidate(make_peer(others - 1, "").address, now);
+                        CPPUNIT_ASSERT_EQUAL(in_zone,
+                                             view.heartbeat_targets(1).size());
+                    });
             section("a process is unresponsive after three of its heartbeats",
                     [&]
                     {
