Watch a missing configuration, and follow a reader before there is one

A read of the configuration's key answers 404 while there is none and tells no revision to watch from, so each gateway asked again every 0.1 to 0.8 s; and as a gateway without a configuration neither followed a reader nor was one, all 68 also watched the servers by themselves while these registered.

"None as of now" is confirmed like any version, so gateways follow their zone's reader from the first list of servers on. Servers are found by address in a hash map (was: a search through all servers for each input of a task).

Test: updates_test, a_missing_configuration_is_watched_by_one_process (before: both read, and poll).

--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -329,13 +329,12 @@
 std::string gateway_server::status_text() const
 {
     const auto now = boot_clock::now();
-    const auto& configuration = state_.configuration();
     const auto age = state_.freshness().age(now);
     nlohmann::json status{
         {"name", settings_.name},
         {"ready", !context_.stopping && state_.ready(now)},
         {"stopping", context_.stopping},
-        {"configuration", configuration ? configuration->version() : 0},
+        {"configuration", state_.configuration_version()},
         {"confirmed_ms_ago", age ? age->count() : -1},
         {"reads_platform", reader_activation_.is_active()},
         {"backend_servers", state_.directory().size()},
--- a/src/connection/update_follower.cpp
+++ b/src/connection/update_follower.cpp
@@ -96,8 +96,8 @@
 
 const peer* update_follower::choose_source(boot_clock::time_point now) const
 {
-    // The initial state is always read from the platform store.
-    if (!state_.configuration() || !updater_.entries_age(now))
+    // The first list of servers is always read from the platform store.
+    if (!updater_.entries_age(now))
     {
         return nullptr;
     }
@@ -123,7 +123,7 @@
 
 asio::awaitable<bool> update_follower::request_update(peer from)
 {
-    const update_request known{state_.configuration()->version(),
+    const update_request known{state_.configuration_version(),
                                updater_.entries().digest(), max_response_wait};
     const auto sent_at = boot_clock::now();
     text_request request =
@@ -174,7 +174,7 @@
         }
     }
     updater_.confirm_entries(valid_at - response.entries_age);
-    const auto known = state_.configuration()->version();
+    const auto known = state_.configuration_version();
     if (response.configuration_version == known)
     {
         updater_.confirm_configuration(valid_at - response.configuration_age);
--- a/src/connection/update_source.cpp
+++ b/src/connection/update_source.cpp
@@ -30,8 +30,6 @@
 {
     const auto known = decode_update_request(request);
     const auto arrival = boot_clock::now();
-    const auto version = [this]
-    { return state_.configuration() ? state_.configuration()->version() : 0; };
     while (known && activation_.is_active())
     {
         const auto now = boot_clock::now();
@@ -46,7 +44,7 @@
             valid_for, known->wait - std::chrono::duration_cast<milliseconds>(
                                          now - arrival));
         if (remaining > milliseconds(0) &&
-            known->configuration_version >= version() &&
+            known->configuration_version >= state_.configuration_version() &&
             known->entries_digest == updater_.entries().digest())
         {
             const auto wake =
@@ -59,7 +57,7 @@
         }
         update_response response;
         response.held = std::chrono::duration_cast<milliseconds>(now - arrival);
-        response.configuration_version = version();
+        response.configuration_version = state_.configuration_version();
         response.configuration_age = *configuration_age;
         response.entries_age = *entries_age;
         response.failure_age = updater_.failure_age(now);
--- a/src/process/backend_directory.cpp
+++ b/src/process/backend_directory.cpp
@@ -140,14 +140,8 @@
 backend_directory::server_pointer
 backend_directory::find_address(std::string_view address) const
 {
-    for (const auto& [id, entry] : servers_)
-    {
-        if (!entry.server->leaving && entry.server->address.text() == address)
-        {
-            return entry.server;
-        }
-    }
-    return nullptr;
+    const auto found = by_address_.find(std::string(address));
+    return found == by_address_.end() ? nullptr : found->second;
 }
 
 void backend_directory::erase(const std::string& id)
@@ -166,12 +160,14 @@
 void backend_directory::index()
 {
     by_service_.clear();
+    by_address_.clear();
     ++version_;
     for (const auto& [id, entry] : servers_)
     {
         if (!entry.server->leaving)
         {
             by_service_[entry.server->service].push_back(entry.server);
+            by_address_[entry.server->address.text()] = entry.server;
         }
     }
     for (auto& [service, list] : by_service_)
--- a/src/process/backend_directory.hpp
+++ b/src/process/backend_directory.hpp
@@ -86,6 +86,7 @@
     milliseconds suspicion_timeout_;
     absl::flat_hash_map<std::string, directory_entry> servers_;
     absl::flat_hash_map<std::string, std::vector<server_pointer>> by_service_;
+    absl::flat_hash_map<std::string, server_pointer> by_address_; ///< IP:PORT
     absl::flat_hash_map<std::string, server_pointer>
         removed_; ///< last known entries
     std::uint64_t version_ = 0;
--- a/src/roles/gateway_state.hpp
+++ b/src/roles/gateway_state.hpp
@@ -37,6 +37,12 @@
         return configuration_;
     }
 
+    /// Returns the version of the current configuration, or 0.
+    std::uint64_t configuration_version() const
+    {
+        return configuration_ ? configuration_->version() : 0;
+    }
+
     /// Returns the parameters of a stage pool, or null if the service is not
     /// one.
     const stage_pool_parameters*
--- a/tests/platform/updates_test.cpp
+++ b/tests/platform/updates_test.cpp
@@ -2,6 +2,7 @@
 #include "support/test_cluster.hpp"
 
 #include <csignal>
+#include <thread>
 
 namespace mangolink::test
 {
@@ -15,6 +16,7 @@
     CPPUNIT_TEST(a_reader_that_dies_is_replaced);
     CPPUNIT_TEST(a_reader_that_pauses_hides_no_revocation);
     CPPUNIT_TEST(a_reader_without_the_store_is_not_followed);
+    CPPUNIT_TEST(a_missing_configuration_is_watched_by_one_process);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -148,6 +150,40 @@
             });
     }
 
+    void a_missing_configuration_is_watched_by_one_process()
+    {
+        test_cluster cluster;
+        cluster.add_backend("desk", "desk-1");
+        cluster.add_route("/orders/", "idempotent", "desk");
+        gateway_process one("gateway-1", cluster.store().address(), {},
+                            cluster.folder(), {});
+        gateway_process two("gateway-2", cluster.store().address(),
+                            {one.peers()}, cluster.folder(), {});
+        CPPUNIT_ASSERT(bench::wait_until(
+            [&] { return one.reads_store() != two.reads_store(); }));
+        section("with no calls but the watches of the configuration and servers",
+                [&]
+                {
+                    constexpr int seconds = 4;
+                    const auto before = cluster.store().calls();
+                    std::this_thread::sleep_for(std::chrono::seconds(seconds));
+                    CPPUNIT_ASSERT(cluster.store().calls() - before <=
+                                   2 * seconds);
+                });
+        section("both serve soon after it is published",
+                [&]
+                {
+                    cluster.publish();
+                    CPPUNIT_ASSERT(bench::wait_until(
+                        [&] { return one.ready() && two.ready(); }));
+                    for (auto* gateway : {&one, &two})
+                    {
+                        CPPUNIT_ASSERT_EQUAL(
+                            200U, send_request(*gateway, "/orders/x", "r1"));
+                    }
+                });
+    }
+
 private:
     static void prepare(test_cluster& cluster)
     {
