Send the load of stage pools to distant gateways more often

The heartbeat that tells of a stop goes to all peers (it was thinned like the others).

Test: distant_processes_get_fewer_heartbeats, "load reports are sent to distant processes more often". The test of a missing configuration asked a gateway that did not listen yet (connection refused); it waits for its start.

--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -376,7 +376,7 @@
     peers_.stop();
     if (heartbeats_)
     {
-        heartbeats_->send_now();
+        heartbeats_->send_to_all();
     }
     const auto earliest_end = start_time + balancer_removal_delay;
     const auto latest_end = start_time + settings_.stop_limit - stop_reserve;
--- a/src/connection/peer_heartbeats.cpp
+++ b/src/connection/peer_heartbeats.cpp
@@ -22,8 +22,8 @@
 constexpr milliseconds min_interval{150};
 
 /// The interval grows with the number of processes, so that each process sends
-/// and receives at most about this many datagrams per second.
-constexpr double max_datagrams_per_second = 130;
+/// at most about this many datagrams per second, by the kind of heartbeat.
+constexpr double max_datagrams_per_second[] = {130, 260};
 
 /// Number of peer addresses in a heartbeat, by which processes discover each
 /// other.
@@ -52,6 +52,7 @@
       sent_(metrics.counter("mangolink_beats_total", "how=\"sent\"")),
       received_(metrics.counter("mangolink_beats_total", "how=\"received\"")),
       invalid_(metrics.counter("mangolink_beats_total", "how=\"unreadable\"")),
+      kind_(heartbeat_kind::liveness),
       socket_(io)
 {
     const auto& own = peers_.self().address;
@@ -72,10 +73,19 @@
     add_seed_addresses(boot_clock::now());
 }
 
-void peer_heartbeats::send_now()
+void peer_heartbeats::send_to_all()
 {
-    const std::string bytes = encode();
-    for (const auto& address : peers_.heartbeat_targets(heartbeat_number_++))
+    send(0);
+}
+
+void peer_heartbeats::send(std::uint64_t heartbeat_number)
+{
+    const auto load_reports = stages_.load_reports();
+    kind_ = load_reports.empty() ? heartbeat_kind::liveness
+                                 : heartbeat_kind::load;
+    const std::string bytes = encode(load_reports);
+    for (const auto& address :
+         peers_.heartbeat_targets(heartbeat_number, kind_))
     {
         error_code error;
         const asio::ip::udp::endpoint to(
@@ -128,7 +138,7 @@
                        {{"process", name}});
             changed_();
         }
-        send_now();
+        send(heartbeat_number_++);
         co_await pause(io_, interval());
     }
 }
@@ -136,7 +146,8 @@
 milliseconds peer_heartbeats::interval() const
 {
     const double needed_ms =
-        1000 * peers_.mean_heartbeat_targets() / max_datagrams_per_second;
+        1000 * peers_.mean_heartbeat_targets(kind_) /
+        max_datagrams_per_second[static_cast<std::size_t>(kind_)];
     return std::max(min_interval,
                     milliseconds(static_cast<std::int64_t>(needed_ms)));
 }
@@ -188,7 +199,8 @@
     changed_();
 }
 
-std::string peer_heartbeats::encode()
+std::string
+peer_heartbeats::encode(const std::vector<named_load_report>& load_reports)
 {
     const peer& self = peers_.self();
     wire::gateway_heartbeat heartbeat;
@@ -200,7 +212,7 @@
     heartbeat.set_interval_ms(static_cast<std::uint32_t>(interval().count()));
     heartbeat.set_weight_permille(std::max(
         1U, static_cast<std::uint32_t>(self.weight * weight_scale)));
-    for (const auto& report : stages_.load_reports())
+    for (const auto& report : load_reports)
     {
         write_load_report(report.server, report.load_report,
                           *heartbeat.add_outlooks());
--- a/src/connection/peer_heartbeats.hpp
+++ b/src/connection/peer_heartbeats.hpp
@@ -18,7 +18,8 @@
 class metrics_registry;
 class peer_directory;
 class stage_dispatcher;
-struct socket_address;
+enum class heartbeat_kind : std::uint8_t;
+struct named_load_report;
 
 /// Sends and receives heartbeat datagrams between processes of the same role,
 /// which report liveness and the load of stage servers. Lost datagrams are not
@@ -38,8 +39,8 @@
     /// Replaces the seed addresses.
     void set_seeds(std::vector<std::string> seeds);
 
-    /// Sends a heartbeat immediately, for example after a state change.
-    void send_now();
+    /// Sends a heartbeat to all peers immediately, after a state change.
+    void send_to_all();
 
 private:
     asio::awaitable<void> receive_loop();
@@ -48,7 +49,8 @@
     /// Returns the time between two heartbeats.
     milliseconds interval() const;
     void process_datagram(std::size_t size);
-    std::string encode();
+    void send(std::uint64_t heartbeat_number);
+    std::string encode(const std::vector<named_load_report>& load_reports);
     void add_seed_addresses(boot_clock::time_point now);
 
     asio::io_context& io_;
@@ -60,6 +62,7 @@
     event_counter& received_;
     event_counter& invalid_;
     std::uint64_t heartbeat_number_ = 0; ///< heartbeats sent so far
+    heartbeat_kind kind_;                ///< of the last one
     absl::BitGen random_;
     asio::ip::udp::socket socket_;
     std::array<char, 64 * 1024> buffer_{};
--- a/src/process/peer_directory.cpp
+++ b/src/process/peer_directory.cpp
@@ -18,9 +18,10 @@
 /// costs more than up-to-date load data of remote servers is worth.
 constexpr std::size_t max_peers_at_full_rate = 8;
 
-/// One in this many heartbeats is sent to a process at a distance (same zone,
-/// same region, another region). Nearly all tasks stay in the zone.
-constexpr std::uint64_t heartbeat_strides[] = {1, 3, 9};
+/// One in this many heartbeats is sent to a process, by the kind of heartbeat
+/// and the distance (same zone, same region, another region). Few processes
+/// send load reports, by which all others choose between zones.
+constexpr std::uint64_t heartbeat_strides[][3] = {{1, 3, 9}, {1, 2, 4}};
 
 /// Number of processes that one reader of the platform serves. Each of them
 /// polls it once a second, which takes about 0.3 ms.
@@ -133,39 +134,42 @@
                                           : place_.to(process.zone);
 }
 
-std::uint64_t peer_directory::heartbeat_stride(const peer& process) const
+std::uint64_t peer_directory::heartbeat_stride(const peer& process,
+                                               heartbeat_kind kind) const
 {
+    const auto& strides = heartbeat_strides[static_cast<std::size_t>(kind)];
     return peers_.size() > max_peers_at_full_rate
-               ? heartbeat_strides[static_cast<std::size_t>(
-                     distance_to(process))]
+               ? strides[static_cast<std::size_t>(distance_to(process))]
                : 1;
 }
 
 milliseconds peer_directory::heartbeat_timeout(const peer& process) const
 {
     constexpr int missed_heartbeats = 3;
-    const auto stride = static_cast<std::int64_t>(heartbeat_stride(process));
+    const auto stride = static_cast<std::int64_t>(
+        heartbeat_stride(process, heartbeat_kind::liveness));
     return process.heartbeat_interval * stride * missed_heartbeats +
            settings_.silence_margin;
 }
 
-double peer_directory::mean_heartbeat_targets() const
+double peer_directory::mean_heartbeat_targets(heartbeat_kind kind) const
 {
     double mean = 0;
     for (const auto& [name, entry] : peers_)
     {
-        mean += 1.0 / static_cast<double>(heartbeat_stride(entry.info));
+        mean += 1.0 / static_cast<double>(heartbeat_stride(entry.info, kind));
     }
     return mean;
 }
 
 std::vector<socket_address>
-peer_directory::heartbeat_targets(std::uint64_t heartbeat_number) const
+peer_directory::heartbeat_targets(std::uint64_t heartbeat_number,
+                                  heartbeat_kind kind) const
 {
     std::vector<socket_address> result;
     for (const auto& [name, entry] : peers_)
     {
-        if (heartbeat_number % heartbeat_stride(entry.info) == 0)
+        if (heartbeat_number % heartbeat_stride(entry.info, kind) == 0)
         {
             result.push_back(entry.info.address);
         }
--- a/src/process/peer_directory.hpp
+++ b/src/process/peer_directory.hpp
@@ -38,6 +38,13 @@
     stopping
 };
 
+/// What a heartbeat carries beside the state of its sender.
+enum class heartbeat_kind : std::uint8_t
+{
+    liveness,
+    load ///< load reports of stage servers that the sender owns
+};
+
 /// Settings of a peer directory.
 struct peer_directory_settings final
 {
@@ -72,12 +79,14 @@
 
     /// Returns the addresses to which the heartbeat with this number is sent:
     /// those of peers and of candidates. With many processes, peers in other
-    /// zones get only some of the heartbeats, in other regions still fewer.
+    /// zones get only some of the heartbeats, in other regions still fewer, but
+    /// more of them if the heartbeats carry load reports.
     std::vector<socket_address>
-    heartbeat_targets(std::uint64_t heartbeat_number) const;
+    heartbeat_targets(std::uint64_t heartbeat_number,
+                      heartbeat_kind kind) const;
 
     /// Returns the mean number of peers that a heartbeat is sent to.
-    double mean_heartbeat_targets() const;
+    double mean_heartbeat_targets(heartbeat_kind kind) const;
 
     /// Returns the addresses of all live peers.
     std::vector<socket_address> live_addresses() const;
@@ -113,7 +122,8 @@
         boot_clock::time_point last_heartbeat;
     };
     distance distance_to(const peer& process) const;
-    std::uint64_t heartbeat_stride(const peer& process) const;
+    std::uint64_t heartbeat_stride(const peer& process,
+                                   heartbeat_kind kind) const;
     milliseconds heartbeat_timeout(const peer& process) const;
 
     struct candidate final
--- a/tests/platform/updates_test.cpp
+++ b/tests/platform/updates_test.cpp
@@ -159,6 +159,14 @@
                             cluster.folder(), {});
         gateway_process two("gateway-2", cluster.store().address(),
                             {one.peers()}, cluster.folder(), {});
+        for (const auto* gateway : {&one, &two})
+        {
+            CPPUNIT_ASSERT(bench::wait_until(
+                [&] {
+                    return gateway->log_text().find("Started.") !=
+                           std::string::npos;
+                }));
+        }
         CPPUNIT_ASSERT(bench::wait_until(
             [&] { return one.reads_store() != two.reads_store(); }));
         section("with no calls but the watches of the configuration and servers",
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -197,7 +197,7 @@
         section("its address still receives heartbeats",
                 [&] {
                     CPPUNIT_ASSERT_EQUAL(std::size_t(1),
-                                         view.heartbeat_targets(0).size());
+                                         view.heartbeat_targets(0, heartbeat_kind::liveness).size());
                 });
         section("shares of common limits do not grow immediately",
                 [&]
@@ -212,7 +212,7 @@
                 [&]
                 {
                     view.expire(now_);
-                    CPPUNIT_ASSERT(view.heartbeat_targets(0).empty());
+                    CPPUNIT_ASSERT(view.heartbeat_targets(0, heartbeat_kind::liveness).empty());
                 });
     }
 
--- a/tests/unit/published_entries_test.cpp
+++ b/tests/unit/published_entries_test.cpp
@@ -159,16 +159,27 @@
             const bool reduced = others > 8;
             const auto in_zone = reduced ? all / 4 : all;
             const auto in_region = reduced ? all / 2 : all;
-            CPPUNIT_ASSERT_EQUAL(all, view.heartbeat_targets(0).size());
-            CPPUNIT_ASSERT_EQUAL(in_zone, view.heartbeat_targets(1).size());
-            CPPUNIT_ASSERT_EQUAL(in_region, view.heartbeat_targets(3).size());
-            CPPUNIT_ASSERT_EQUAL(all, view.heartbeat_targets(9).size());
+            CPPUNIT_ASSERT_EQUAL(all, view.heartbeat_targets(0, heartbeat_kind::liveness).size());
+            CPPUNIT_ASSERT_EQUAL(in_zone, view.heartbeat_targets(1, heartbeat_kind::liveness).size());
+            CPPUNIT_ASSERT_EQUAL(in_region, view.heartbeat_targets(3, heartbeat_kind::liveness).size());
+            CPPUNIT_ASSERT_EQUAL(all, view.heartbeat_targets(9, heartbeat_kind::liveness).size());
+            section("load reports are sent to distant processes more often",
+                    [&]
+                    {
+                        const auto targets = [&](int number) {
+                            return view
+                                .heartbeat_targets(number, heartbeat_kind::load)
+                                .size();
+                        };
+                        CPPUNIT_ASSERT_EQUAL(in_region, targets(2));
+                        CPPUNIT_ASSERT_EQUAL(all, targets(4));
+                    });
             section("also if others tell its address",
                     [&]
                     {
                         view.add_candidate(make_peer(others - 1, "").address, now);
                         CPPUNIT_ASSERT_EQUAL(in_zone,
-                                             view.heartbeat_targets(1).size());
+                                             view.heartbeat_targets(1, heartbeat_kind::liveness).size());
                     });
             section("a process is unresponsive after three of its heartbeats",
                     [&]
