Send the tasks of an unreachable owner to the next one

Cause: when an owner's connection failed, each sender called the stage server itself.

Change: a failed connection to an owner makes it suspected in this process until its next heartbeat, and the task is submitted again: all senders agree on the next owner by hash.

Ruled out: waiting for the heartbeat timeout (0.9 s of a zone's tasks), and taking the task over only when one gateway is left (a special case).

Test: stage_dispatcher_test, an_unreachable_owner_is_replaced_by_the_next_one (before: the item fails at the sender's own call).

--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -54,7 +54,8 @@
     if (!server)
     {
         const auto client = task->client.lock();
-        for (const auto item : task->items)
+        for (const auto item :
+             client ? task->items : std::vector<std::uint32_t>())
         {
             client->item_ended({task->stage, item},
                                {stage_item_outcome::failed, {}});
@@ -189,11 +190,12 @@
         co_return;
     }
     metrics_.counter("mangolink_orders_taken_over_total").add();
-    log_warning("stage", "Task taken over: the owner does not respond.",
+    log_warning("stage", "Task sent again: the owner does not respond.",
                 {{"id", task->request_id},
                  {"process", owner.name},
                  {"server", server->id}});
-    caller_.enqueue(server->id, task);
+    peers_.suspect(owner.name);
+    submit(std::move(task));
 }
 
 bool stage_dispatcher::handle_reply(const stage_task& task,
--- a/src/connection/stage_dispatcher.hpp
+++ b/src/connection/stage_dispatcher.hpp
@@ -24,14 +24,13 @@
 
 /// Dispatches stage tasks to stage servers.
 ///
-/// One process, the owner, batches the calls of all stage servers of a pool in a
-/// zone. Calls are therefore full, no server gets more than its memory can hold,
-/// and the owner chooses among the servers by their exact load, while other
-/// processes know it from load reports only. Tasks for servers of other owners
-/// are sent to those, which have until the deadline of
-/// the request. If an owner becomes unresponsive or its connection fails, this
-/// process takes the task over; an item may then be executed twice.
-/// Used by one thread.
+/// One process, the owner, batches the calls of all stage servers of a pool in
+/// a zone. Calls are therefore full, no server gets more than its memory can
+/// hold, and the owner chooses among the servers by their exact load, while
+/// other processes know it from load reports only. Tasks for servers of other
+/// owners are sent to those, which have until the deadline of the request. If
+/// an owner becomes unresponsive or its connection fails, the task goes to the
+/// next owner; an item may then be executed twice. Used by one thread.
 class stage_dispatcher final
 {
 public:
--- a/src/process/peer_directory.cpp
+++ b/src/process/peer_directory.cpp
@@ -28,17 +28,19 @@
 constexpr std::size_t followers_per_reader = 24;
 
 /// Prefers processes in the zone of the server. The result must be the same in
-/// every process, so it must not depend on the process that evaluates it.
-int zone_preference(const peer& process, std::string_view zone)
+/// every process, so it must not depend on the process that evaluates it, apart
+/// from suspicions.
+int zone_preference(const peer& process, bool suspected, std::string_view zone)
 {
-    return process.stopping ? -1 : process.zone == zone ? 1 : 0;
+    return process.stopping || suspected ? -1 : process.zone == zone ? 1 : 0;
 }
 
 } // namespace
 
 peer_directory::peer_directory(peer_directory_settings settings)
-    : settings_(std::move(settings)),
-      place_{settings_.self.name, settings_.self.zone, settings_.region_zones}
+    : settings_(std::move(settings)), place_{settings_.self.name,
+                                             settings_.self.zone,
+                                             settings_.region_zones}
 {
 }
 
@@ -181,15 +183,24 @@
     return result;
 }
 
+void peer_directory::suspect(const std::string& name)
+{
+    const auto found = peers_.find(name);
+    if (found != peers_.end())
+    {
+        found->second.suspected = true;
+    }
+}
+
 const peer* peer_directory::owner_of(std::string_view service,
                                      std::string_view zone) const
 {
     const peer* best = nullptr;
     int best_preference = 0;
     double best_rank = 0;
-    const auto consider = [&](const peer& process)
+    const auto consider = [&](const peer& process, bool suspected)
     {
-        const int preference = zone_preference(process, zone);
+        const int preference = zone_preference(process, suspected, zone);
         if (best != nullptr && preference < best_preference)
         {
             return;
@@ -203,10 +214,10 @@
             best_rank = rank;
         }
     };
-    consider(settings_.self);
+    consider(settings_.self, false);
     for (const auto& [name, entry] : peers_)
     {
-        consider(entry.info);
+        consider(entry.info, entry.suspected);
     }
     return best == &settings_.self ? nullptr : best;
 }
--- a/src/process/peer_directory.hpp
+++ b/src/process/peer_directory.hpp
@@ -91,8 +91,12 @@
     /// Returns the addresses of all live peers.
     std::vector<socket_address> live_addresses() const;
 
-    /// Returns the peer that owns the servers of a service in a zone, or null if
-    /// this process owns them.
+    /// Records that a connection to a peer failed. Until its next heartbeat it
+    /// owns servers only if no other process can.
+    void suspect(const std::string& name);
+
+    /// Returns the peer that owns the servers of a service in a zone, or null
+    /// if this process owns them.
     const peer* owner_of(std::string_view service, std::string_view zone) const;
 
     /// Returns the processes that read the platform on behalf of the own zone:
@@ -120,6 +124,7 @@
     {
         peer info;
         boot_clock::time_point last_heartbeat;
+        bool suspected = false;
     };
     distance distance_to(const peer& process) const;
     std::uint64_t heartbeat_stride(const peer& process,
--- a/tests/platform/stage_dispatcher_test.cpp
+++ b/tests/platform/stage_dispatcher_test.cpp
@@ -42,6 +42,7 @@
 {
     CPPUNIT_TEST_SUITE(stage_dispatcher_test);
     CPPUNIT_TEST(a_slow_owner_keeps_its_task);
+    CPPUNIT_TEST(an_unreachable_owner_is_replaced_by_the_next_one);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -51,10 +52,11 @@
               {
                   ++tasks_;
                   const item_report made{0, {stage_item_outcome::made, "r"}};
-                  owner_.post([reply, made]
-                              { reply(scripted_answer::of(
-                                    200, encode_reply({made}))); },
-                              owner_time_);
+                  owner_.post(
+                      [reply, made] {
+                          reply(scripted_answer::of(200, encode_reply({made})));
+                      },
+                      owner_time_);
               }),
           settings_(settings_of("gateway-2")), state_(settings_),
           connections_(
@@ -72,12 +74,57 @@
     void a_slow_owner_keeps_its_task()
     {
         add_stage_server();
-        peers_.record_heartbeat(peer{incarnation(1), "gateway-1", "zone-a",
-                                     owner_.address(), false},
-                                boot_clock::now());
-        const auto client = std::make_shared<item_client>();
+        hear_from("gateway-1", owner_.address());
+        run_task();
+        section("its result is used, and nobody else makes a call",
+                [&]
+                {
+                    CPPUNIT_ASSERT(client_->outcomes ==
+                                   std::vector{stage_item_outcome::made});
+                    CPPUNIT_ASSERT_EQUAL(1, tasks_.load());
+                });
+    }
+
+    void an_unreachable_owner_is_replaced_by_the_next_one()
+    {
+        add_stage_server();
+        owner_time_ = milliseconds(1);
+        hear_from("gateway-1", owner_.address());
+        hear_from("gateway-3", owner_.address());
+        const std::string unreachable =
+            peers_.owner_of("encode", "zone-a")->name;
+        hear_from(unreachable, {"127.0.0.1", 1});
+        run_task();
+        section("of the same zone, which makes the call",
+                [&]
+                {
+                    CPPUNIT_ASSERT(client_->outcomes ==
+                                   std::vector{stage_item_outcome::made});
+                });
+        section("until it is heard from again",
+                [&]
+                {
+                    CPPUNIT_ASSERT(peers_.owner_of("encode", "zone-a")->name !=
+                                   unreachable);
+                    hear_from(unreachable, {"127.0.0.1", 1});
+                    CPPUNIT_ASSERT_EQUAL(
+                        unreachable, peers_.owner_of("encode", "zone-a")->name);
+                });
+    }
+
+private:
+    void hear_from(const std::string& name, const socket_address& address)
+    {
+        peers_.record_heartbeat(
+            peer{incarnation(10 + name.back()), name, "zone-a", address, false},
+            boot_clock::now());
+    }
+
+    /// Submits a task of one item and waits for its outcome.
+    void run_task()
+    {
         auto task = std::make_shared<stage_task>();
-        task->client = client;
+        task->client = client_;
         task->request_id = "r1";
         task->service = "encode";
         task->items = {0};
@@ -85,21 +132,13 @@
         task->due = task->deadline;
         dispatcher_.submit(task);
         const auto begin = boot_clock::now();
-        while (client->outcomes.empty() &&
+        while (client_->outcomes.empty() &&
                boot_clock::now() - begin < milliseconds(4500))
         {
             io_.run_for(milliseconds(20));
         }
-        section("its result is used, and nobody else makes a call",
-                [&]
-                {
-                    CPPUNIT_ASSERT(client->outcomes ==
-                                   std::vector{stage_item_outcome::made});
-                    CPPUNIT_ASSERT_EQUAL(1, tasks_.load());
-                });
     }
 
-private:
     void add_stage_server()
     {
         gateway_service service;
@@ -121,8 +160,9 @@
     }
 
     /// Much longer than the expected time of an idle server.
-    static constexpr milliseconds owner_time_{2500};
+    milliseconds owner_time_{2500};
 
+    std::shared_ptr<item_client> client_ = std::make_shared<item_client>();
     std::atomic<int> tasks_{0};
     standin_server owner_;
     abortable_io_context io_{1};
