Bound answers that never end, and judge streams by complete events

An event or a chunk extension without end grew the memory of the process until the request's deadline, answers to our own calls until their timeout. The gap of a stream was measured between bytes: a server that sends a byte now and then kept its stream until the deadline. And a gap ended a stream also when no other server, attempt or retry budget was left, so that a slow but sound stream was cut; the same held for the first byte of requests that may be repeated.

Change: 128 KB of unparsed bytes, 1 MB for an event, 2 MB for answers to our own calls. Streams are measured between complete events. An attempt ends at a limit only if the request can be sent elsewhere then.

The sum over many connections is not bounded (16 MB a body).

--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -15,8 +15,7 @@
 double weighted_rank(std::uint64_t hash, double weight)
 {
     // Maps the upper 53 bits to the open interval (0, 1).
-    const double uniform =
-        (static_cast<double>(hash >> 11U) + 0.5) * 0x1p-53;
+    const double uniform = (static_cast<double>(hash >> 11U) + 0.5) * 0x1p-53;
     return -weight / std::log(uniform);
 }
 
--- a/src/connection/backend_caller.cpp
+++ b/src/connection/backend_caller.cpp
@@ -14,6 +14,9 @@
 /// Connect timeout. A round trip between regions takes about 25 ms.
 constexpr milliseconds connect_limit{300};
 
+/// Several times the largest answer, a snapshot of a thousand servers.
+constexpr std::size_t max_answer_bytes = 2 * 1024 * 1024;
+
 } // namespace
 
 backend_caller::backend_caller(asio::io_context& io,
@@ -44,7 +47,8 @@
     text_response answer;
     while (open && !current->complete())
     {
-        open = co_await current->read_some(answer.body());
+        open = co_await current->read_some(answer.body()) &&
+               answer.body().size() <= max_answer_bytes;
     }
     if (!open)
     {
--- a/src/connection/backend_connection.cpp
+++ b/src/connection/backend_connection.cpp
@@ -18,6 +18,10 @@
 constexpr int keep_alive_interval_s = 1;
 constexpr int keep_alive_probes = 2;
 
+/// Limit of received bytes that are not parsed yet. More than the head of an
+/// answer, so that only endless chunk extensions and trailers reach it.
+constexpr std::size_t max_unparsed_bytes = 128 * 1024;
+
 /// TCP_USER_TIMEOUT: the connection fails if sent bytes stay unacknowledged
 /// for this time.
 constexpr int unacknowledged_ms = 3000;
@@ -32,7 +36,7 @@
 } // namespace
 
 backend_connection::backend_connection(asio::io_context& context)
-    : context_(context), socket_(context)
+    : context_(context), socket_(context), buffer_(max_unparsed_bytes)
 {
 }
 
--- a/src/connection/forward_attempt.cpp
+++ b/src/connection/forward_attempt.cpp
@@ -5,12 +5,15 @@
 #include "connection/stream_forwarder.hpp"
 #include "process/backend_server.hpp"
 
+#include <algorithm>
+
 namespace mangolink
 {
 namespace
 {
 
 constexpr std::size_t max_answer_bytes = 16 * 1024 * 1024;
+constexpr std::size_t max_event_bytes = 1024 * 1024;
 
 constexpr unsigned conflict = 409;
 constexpr unsigned misdirected = 421;
@@ -37,7 +40,7 @@
                                            std::function<void()> on_first_event)
 {
     const auto start_time = boot_clock::now();
-    const bool head = co_await read_head(limits.first_byte);
+    const bool head = co_await read_head(limits);
     first_byte_ = std::chrono::duration_cast<milliseconds>(boot_clock::now() -
                                                            start_time);
     if (!head)
@@ -47,7 +50,7 @@
     }
     else if (is_stream())
     {
-        co_await read_stream(limits.between_events, stream, on_first_event);
+        co_await read_stream(limits, stream, on_first_event);
     }
     else
     {
@@ -98,14 +101,19 @@
     return result + " " + std::to_string(first_byte_.count()) + " ms";
 }
 
-asio::awaitable<bool> forward_attempt::read_head(milliseconds limit)
+void forward_attempt::end_at_limit(const attempt_limits& limits)
+{
+    if (limits.may_send_elsewhere())
+    {
+        timed_out_ = true;
+        exchange_->abort();
+    }
+}
+
+asio::awaitable<bool> forward_attempt::read_head(const attempt_limits& limits)
 {
-    const scoped_timeout guard(io_, limit,
-                               [this]
-                               {
-                                   timed_out_ = true;
-                                   exchange_->abort();
-                               });
+    const scoped_timeout guard(io_, limits.first_byte,
+                               [&] { end_at_limit(limits); });
     co_return co_await exchange_->begin();
 }
 
@@ -137,25 +145,28 @@
 }
 
 asio::awaitable<void>
-forward_attempt::read_stream(milliseconds limit, stream_forwarder& stream,
+forward_attempt::read_stream(const attempt_limits& limits,
+                             stream_forwarder& stream,
                              const std::function<void()>& on_first)
 {
     end_ = attempt_outcome::broken;
     const bool resumed = stream.begun();
     bool first = true;
     std::string pending;
+    auto last_event = boot_clock::now();
     while (!exchange_->complete())
     {
         bool open = false;
         {
-            const scoped_timeout guard(io_, limit,
-                                       [this]
-                                       {
-                                           timed_out_ = true;
-                                           exchange_->abort();
-                                       });
+            const auto since_event = std::chrono::duration_cast<milliseconds>(
+                boot_clock::now() - last_event);
+            const scoped_timeout guard(
+                io_,
+                std::max(limits.between_events - since_event, milliseconds(0)),
+                [&] { end_at_limit(limits); });
             open = co_await exchange_->read_some(pending);
         }
+        const auto received = pending.size();
         if (first && !pending.empty())
         {
             first = false;
@@ -164,10 +175,15 @@
         const auto forwarded =
             co_await stream.forward(exchange_->head(), pending, resumed);
         caller_gone_ = forwarded == forward_result::caller_gone;
-        if (forwarded != forward_result::forwarded || !open)
+        if (forwarded != forward_result::forwarded || !open ||
+            pending.size() > max_event_bytes)
         {
             co_return;
         }
+        if (pending.size() < received)
+        {
+            last_event = boot_clock::now();
+        }
     }
     // A stream that ends inside an event is incomplete.
     end_ =
--- a/src/connection/forward_attempt.hpp
+++ b/src/connection/forward_attempt.hpp
@@ -16,11 +16,13 @@
 class stream_forwarder;
 struct backend_server;
 
-/// Time limits of an attempt.
+/// Time limits of an attempt. The attempt ends at a limit only if the request
+/// can be sent elsewhere; otherwise it goes on until the request ends.
 struct attempt_limits final
 {
     milliseconds first_byte{0};
-    milliseconds between_events{0};
+    milliseconds between_events{0}; ///< between two complete events
+    std::function<bool()> may_send_elsewhere;
 };
 
 /// Sends a request to a backend server once and classifies the outcome. Used by
@@ -66,11 +68,12 @@
     }
 
 private:
-    asio::awaitable<bool> read_head(milliseconds limit);
+    asio::awaitable<bool> read_head(const attempt_limits& limits);
     asio::awaitable<void> read_complete_body(bool answer_begun);
-    asio::awaitable<void> read_stream(milliseconds limit,
+    asio::awaitable<void> read_stream(const attempt_limits& limits,
                                       stream_forwarder& stream,
                                       const std::function<void()>& on_first);
+    void end_at_limit(const attempt_limits& limits);
     bool is_stream() const;
 
     asio::io_context& io_;
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -293,15 +293,16 @@
     const std::string& id = attempt.server()->id;
     tried_servers_.push_back(id);
     ++sends_;
-    co_await attempt.run(limits(), *stream_,
-                         [this]
-                         {
-                             // The server has read the stage results.
-                             if (stages_)
-                             {
-                                 stages_->restart();
-                             }
-                         });
+    const attempt_limits time_limits = limits();
+    const std::function<void()> on_first_event = [this]
+    {
+        // The server has read the stage results.
+        if (stages_)
+        {
+            stages_->restart();
+        }
+    };
+    co_await attempt.run(time_limits, *stream_, on_first_event);
     exchange_.reset();
     caller_gone_ = caller_gone_ || attempt.caller_gone();
     may_have_run_ = may_have_run_ || attempt.end() == attempt_outcome::broken ||
@@ -389,9 +390,9 @@
 {
     const auto remaining = time_left();
     attempt_limits result{remaining + deadline_grace * 2,
-                          remaining + deadline_grace * 2};
-    if (accepted_.route->is_retryable() &&
-        sends_ < accepted_.route->max_attempts)
+                          remaining + deadline_grace * 2,
+                          [this] { return may_send_elsewhere(); }};
+    if (accepted_.route->is_retryable())
     {
         const auto min_wait = accepted_.route->kind == route_kind::streaming
                                   ? min_stream_wait
@@ -409,6 +410,23 @@
     return result;
 }
 
+bool forward_run::may_send_elsewhere() const
+{
+    const auto& servers = context_.state.directory().servers(accepted_.service);
+    const bool has_server = std::any_of(
+        servers.begin(), servers.end(),
+        [this](const auto& server)
+        {
+            return std::find(tried_servers_.begin(), tried_servers_.end(),
+                             server->id) == tried_servers_.end();
+        });
+    return has_server && accepted_.route->is_retryable() &&
+           sends_ < accepted_.route->max_attempts &&
+           time_left() > min_time_left &&
+           context_.state.retry_budget_of(accepted_.service)
+               .available(boot_clock::now());
+}
+
 milliseconds forward_run::time_left() const
 {
     return std::chrono::duration_cast<milliseconds>(accepted_.deadline -
--- a/src/connection/forward_run.hpp
+++ b/src/connection/forward_run.hpp
@@ -56,6 +56,7 @@
     text_request backend_request(const backend_server& server) const;
     server_preferences preferences() const;
     attempt_limits limits() const;
+    bool may_send_elsewhere() const;
     milliseconds time_left() const;
     void stop_waiting();
 
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -67,11 +67,14 @@
 /// address it works without peers.
 peer describe_self(const gateway_settings& settings)
 {
-    return {incarnation::random(), settings.name, settings.zone,
+    return {incarnation::random(),
+            settings.name,
+            settings.zone,
             settings.peer_address.empty()
                 ? socket_address()
                 : parse_address(settings.peer_address),
-            false, settings.processor_share};
+            false,
+            settings.processor_share};
 }
 
 } // namespace
@@ -330,17 +333,16 @@
 {
     const auto now = boot_clock::now();
     const auto age = state_.freshness().age(now);
-    nlohmann::json status{
-        {"name", settings_.name},
-        {"ready", !context_.stopping && state_.ready(now)},
-        {"stopping", context_.stopping},
-        {"configuration", state_.configuration_version()},
-        {"confirmed_ms_ago", age ? age->count() : -1},
-        {"reads_platform", reader_activation_.is_active()},
-        {"backend_servers", state_.directory().size()},
-        {"peers", peers_.size()},
-        {"open_requests", context_.open_requests},
-        {"open_callers", context_.open_callers}};
+    nlohmann::json status{{"name", settings_.name},
+                          {"ready", !context_.stopping && state_.ready(now)},
+                          {"stopping", context_.stopping},
+                          {"configuration", state_.configuration_version()},
+                          {"confirmed_ms_ago", age ? age->count() : -1},
+                          {"reads_platform", reader_activation_.is_active()},
+                          {"backend_servers", state_.directory().size()},
+                          {"peers", peers_.size()},
+                          {"open_requests", context_.open_requests},
+                          {"open_callers", context_.open_callers}};
     return status.dump(2) + "\n";
 }
 
--- a/src/connection/peer_heartbeats.cpp
+++ b/src/connection/peer_heartbeats.cpp
@@ -52,8 +52,7 @@
       sent_(metrics.counter("mangolink_beats_total", "how=\"sent\"")),
       received_(metrics.counter("mangolink_beats_total", "how=\"received\"")),
       invalid_(metrics.counter("mangolink_beats_total", "how=\"unreadable\"")),
-      kind_(heartbeat_kind::liveness),
-      socket_(io)
+      kind_(heartbeat_kind::liveness), socket_(io)
 {
     const auto& own = peers_.self().address;
     const asio::ip::udp::endpoint endpoint(asio::ip::make_address(own.host),
@@ -81,8 +80,8 @@
 void peer_heartbeats::send(std::uint64_t heartbeat_number)
 {
     const auto load_reports = stages_.load_reports();
-    kind_ = load_reports.empty() ? heartbeat_kind::liveness
-                                 : heartbeat_kind::load;
+    kind_ =
+        load_reports.empty() ? heartbeat_kind::liveness : heartbeat_kind::load;
     const std::string bytes = encode(load_reports);
     for (const auto& address :
          peers_.heartbeat_targets(heartbeat_number, kind_))
@@ -168,8 +167,11 @@
     }
     received_.add();
     const auto now = boot_clock::now();
-    const peer from{incarnation(heartbeat.incarnation()), heartbeat.name(),
-                    heartbeat.zone(), *address, heartbeat.stopping(),
+    const peer from{incarnation(heartbeat.incarnation()),
+                    heartbeat.name(),
+                    heartbeat.zone(),
+                    *address,
+                    heartbeat.stopping(),
                     std::max(1U, heartbeat.weight_permille()) / weight_scale,
                     milliseconds(heartbeat.interval_ms())};
     const auto change = peers_.record_heartbeat(from, now);
@@ -210,8 +212,8 @@
     heartbeat.set_address(self.address.text());
     heartbeat.set_stopping(self.stopping);
     heartbeat.set_interval_ms(static_cast<std::uint32_t>(interval().count()));
-    heartbeat.set_weight_permille(std::max(
-        1U, static_cast<std::uint32_t>(self.weight * weight_scale)));
+    heartbeat.set_weight_permille(
+        std::max(1U, static_cast<std::uint32_t>(self.weight * weight_scale)));
     for (const auto& report : load_reports)
     {
         write_load_report(report.server, report.load_report,
--- a/src/request/windowed_retry_budget.cpp
+++ b/src/request/windowed_retry_budget.cpp
@@ -18,7 +18,7 @@
     ++requests_[static_cast<std::size_t>(slice_) % slices];
 }
 
-bool windowed_retry_budget::try_acquire(boot_clock::time_point now)
+bool windowed_retry_budget::available(boot_clock::time_point now)
 {
     advance(now);
     // The slices together cover slightly more than the window. To be on the
@@ -30,7 +30,12 @@
         requests_[oldest];
     const auto retries = std::accumulate(retries_.begin(), retries_.end(), 0U);
     const double bound = settings_.ratio * requests + settings_.slack * share_;
-    if (retries + 1 > bound)
+    return retries + 1 <= bound;
+}
+
+bool windowed_retry_budget::try_acquire(boot_clock::time_point now)
+{
+    if (!available(now))
     {
         return false;
     }
--- a/src/request/windowed_retry_budget.hpp
+++ b/src/request/windowed_retry_budget.hpp
@@ -34,6 +34,9 @@
     /// Records a request of a caller for the service.
     void count_request(boot_clock::time_point now);
 
+    /// Returns whether the budget allows a retry now.
+    bool available(boot_clock::time_point now);
+
     /// Takes one retry from the budget. Returns false if it is exhausted.
     bool try_acquire(boot_clock::time_point now);
 
--- a/tests/platform/updates_test.cpp
+++ b/tests/platform/updates_test.cpp
@@ -169,15 +169,15 @@
         }
         CPPUNIT_ASSERT(bench::wait_until(
             [&] { return one.reads_store() != two.reads_store(); }));
-        section("with no calls but the watches of the configuration and servers",
-                [&]
-                {
-                    constexpr int seconds = 4;
-                    const auto before = cluster.store().calls();
-                    std::this_thread::sleep_for(std::chrono::seconds(seconds));
-                    CPPUNIT_ASSERT(cluster.store().calls() - before <=
-                                   2 * seconds);
-                });
+        section(
+            "with no calls but the watches of the configuration and servers",
+            [&]
+            {
+                constexpr int seconds = 4;
+                const auto before = cluster.store().calls();
+                std::this_thread::sleep_for(std::chrono::seconds(seconds));
+                CPPUNIT_ASSERT(cluster.store().calls() - before <= 2 * seconds);
+            });
         section("both serve soon after it is published",
                 [&]
                 {
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -110,6 +110,20 @@
     reply(std::move(script));
 }
 
+void backend_standin::add_endless(scripted_answer& answer,
+                                  const std::string& filler)
+{
+    constexpr std::size_t part_bytes = 1024 * 1024;
+    constexpr std::size_t parts = 64;
+    std::string part;
+    while (part.size() < part_bytes)
+    {
+        part += filler;
+    }
+    answer.parts.insert(answer.parts.end(), parts, {part, {}});
+    answer.end = answer_end::unresponsive;
+}
+
 scripted_answer backend_standin::answer(const text_request& request,
                                         backend_fault fault)
 {
@@ -164,6 +178,28 @@
         bytes.clear();
         complete.end = answer_end::unresponsive;
         break;
+    case backend_fault::trickling_event:
+        complete.parts = {{stream_head(id), {}},
+                          {encode_chunk(event_text(1)), {}}};
+        complete.parts.resize(60, {encode_chunk("i"), milliseconds(100)});
+        complete.end = answer_end::unresponsive;
+        break;
+    case backend_fault::endless_head:
+        bytes = "HTTP/1.1 200 OK\r\n";
+        add_endless(complete, "X-Filler: 0123456789\r\n");
+        break;
+    case backend_fault::endless_body:
+        bytes = unframed;
+        add_endless(complete, "filler ");
+        break;
+    case backend_fault::endless_event:
+        bytes = stream_head(id);
+        add_endless(complete, encode_chunk("data: filler"));
+        break;
+    case backend_fault::endless_chunk:
+        bytes = stream_head(id) + "5;";
+        add_endless(complete, "filler=");
+        break;
     }
     return complete;
 }
--- a/tests/standins/backend_standin.hpp
+++ b/tests/standins/backend_standin.hpp
@@ -38,7 +38,12 @@
     extra_answer,     ///< a second answer follows
     unframed,         ///< no Content-Length, ended by closing
     unframed_reset,   ///< no Content-Length, ended by a reset
-    hang              ///< runs and never answers
+    hang,             ///< runs and never answers
+    trickling_event,  ///< a first event, then one byte of the next at a time
+    endless_head,     ///< header lines until the caller closes
+    endless_body,     ///< an answer without length, until the caller closes
+    endless_event,    ///< a stream without the end of an event
+    endless_chunk     ///< a chunk extension without end
 };
 
 /// Stand-in for a backend server: answers with bodies or event streams, and
@@ -88,6 +93,9 @@
                 const standin_server::reply& reply);
     scripted_answer answer(const text_request& request, backend_fault fault);
     scripted_answer stream(const text_request& request);
+
+    /// Adds more bytes than a caller may accept.
+    static void add_endless(scripted_answer& answer, const std::string& filler);
     std::string stream_head(const std::string& request) const;
     std::vector<std::string> answer_headers(const std::string& request) const;
     backend_fault next_fault();
--- a/tests/standins/standin_server.cpp
+++ b/tests/standins/standin_server.cpp
@@ -199,8 +199,8 @@
             co_await pause(io_, part.pause);
         }
         error_code error;
-        co_await asio::async_write(*socket, asio::buffer(part.bytes),
-                                   redirect_to(error));
+        sent_bytes_ += co_await asio::async_write(
+            *socket, asio::buffer(part.bytes), redirect_to(error));
         if (error)
         {
             co_return false;
--- a/tests/standins/standin_server.hpp
+++ b/tests/standins/standin_server.hpp
@@ -96,6 +96,9 @@
     /// was withheld.
     std::size_t abandoned() const { return abandoned_; }
 
+    /// Returns the number of bytes of answers sent.
+    std::uint64_t sent_bytes() const { return sent_bytes_; }
+
     /// Stops the thread; later requests get no answer.
     void stop();
 
@@ -118,6 +121,7 @@
     std::vector<std::weak_ptr<tcp::socket>> connections_;
     bool unreachable_ = false;
     std::atomic<std::size_t> abandoned_{0};
+    std::atomic<std::uint64_t> sent_bytes_{0};
     std::thread thread_;
 };
 
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -194,11 +194,14 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), view.max_recent_processes(now_));
         now_ += milliseconds(1000);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), view.expire(now_).size());
-        section("its address still receives heartbeats",
-                [&] {
-                    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
-                                         view.heartbeat_targets(0, heartbeat_kind::liveness).size());
-                });
+        section(
+            "its address still receives heartbeats",
+            [&]
+            {
+                CPPUNIT_ASSERT_EQUAL(
+                    std::size_t(1),
+                    view.heartbeat_targets(0, heartbeat_kind::liveness).size());
+            });
         section("shares of common limits do not grow immediately",
                 [&]
                 {
@@ -212,7 +215,9 @@
                 [&]
                 {
                     view.expire(now_);
-                    CPPUNIT_ASSERT(view.heartbeat_targets(0, heartbeat_kind::liveness).empty());
+                    CPPUNIT_ASSERT(
+                        view.heartbeat_targets(0, heartbeat_kind::liveness)
+                            .empty());
                 });
     }
 
--- a/tests/unit/published_entries_test.cpp
+++ b/tests/unit/published_entries_test.cpp
@@ -159,10 +159,18 @@
             const bool reduced = others > 8;
             const auto in_zone = reduced ? all / 4 : all;
             const auto in_region = reduced ? all / 2 : all;
-            CPPUNIT_ASSERT_EQUAL(all, view.heartbeat_targets(0, heartbeat_kind::liveness).size());
-            CPPUNIT_ASSERT_EQUAL(in_zone, view.heartbeat_targets(1, heartbeat_kind::liveness).size());
-            CPPUNIT_ASSERT_EQUAL(in_region, view.heartbeat_targets(3, heartbeat_kind::liveness).size());
-            CPPUNIT_ASSERT_EQUAL(all, view.heartbeat_targets(9, heartbeat_kind::liveness).size());
+            CPPUNIT_ASSERT_EQUAL(
+                all,
+                view.heartbeat_targets(0, heartbeat_kind::liveness).size());
+            CPPUNIT_ASSERT_EQUAL(
+                in_zone,
+                view.heartbeat_targets(1, heartbeat_kind::liveness).size());
+            CPPUNIT_ASSERT_EQUAL(
+                in_region,
+                view.heartbeat_targets(3, heartbeat_kind::liveness).size());
+            CPPUNIT_ASSERT_EQUAL(
+                all,
+                view.heartbeat_targets(9, heartbeat_kind::liveness).size());
             section("load reports are sent to distant processes more often",
                     [&]
                     {
@@ -177,16 +185,18 @@
             section("also if others tell its address",
                     [&]
                     {
-                        view.add_candidate(make_peer(others - 1, "").address, now);
-                        CPPUNIT_ASSERT_EQUAL(in_zone,
-                                             view.heartbeat_targets(1, heartbeat_kind::liveness).size());
+                        view.add_candidate(make_peer(others - 1, "").address,
+                                           now);
+                        CPPUNIT_ASSERT_EQUAL(
+                            in_zone,
+                            view.heartbeat_targets(1, heartbeat_kind::liveness)
+                                .size());
                     });
             section("a process is unresponsive after three of its heartbeats",
                     [&]
                     {
-                        const auto expired = [&](int ms) {
-                            return view.expire(now + milliseconds(ms)).size();
-                        };
+                        const auto expired = [&](int ms)
+                        { return view.expire(now + milliseconds(ms)).size(); };
                         CPPUNIT_ASSERT_EQUAL(std::size_t(0), expired(890));
                         CPPUNIT_ASSERT_EQUAL(in_zone, expired(910));
                         CPPUNIT_ASSERT_EQUAL(reduced ? in_region - in_zone : 0,
@@ -206,8 +216,9 @@
             other.heartbeat_interval = milliseconds(2300);
             view.record_heartbeat(other, now);
         }
-        section("although its processes send few heartbeats", [&]
-                { CPPUNIT_ASSERT(view.expire(now + milliseconds(2500)).empty()); });
+        section(
+            "although its processes send few heartbeats", [&]
+            { CPPUNIT_ASSERT(view.expire(now + milliseconds(2500)).empty()); });
     }
 
     void few_processes_read_the_store()
--- a/tests/unit/stage_placement_test.cpp
+++ b/tests/unit/stage_placement_test.cpp
@@ -190,14 +190,13 @@
         constexpr milliseconds objective{560};
         constexpr double tasks_per_second = 40; // 78 % of full batches
         constexpr std::size_t servers = 6;
-        const auto share = [&](std::size_t gateways, milliseconds age) {
+        const auto share = [&](std::size_t gateways, milliseconds age)
+        {
             return simulated_pool(servers, gateways)
                 .play(tasks_per_second, age, objective);
         };
-        section("the owner knows the load of all servers",
-                [&] {
-                    CPPUNIT_ASSERT(share(1, milliseconds(1)) >= target_share);
-                });
+        section("the owner knows the load of all servers", [&]
+                { CPPUNIT_ASSERT(share(1, milliseconds(1)) >= target_share); });
         section("twelve gateways with old load reports miss the target",
                 [&] {
                     CPPUNIT_ASSERT(share(12, milliseconds(500)) < target_share);
