Take no results from a late copy of a stage server's answer

Answers to calls of stage servers carry no id. A second copy of an answer that arrives after the connection was taken for the next call was read as that call's answer: with as many items, its handles became results of other requests' items. Bytes that arrive before the reuse were noticed already.

Change: handles are unique, so an answer with a handle that was added within the lifetime of a result is a copy. The call counts as lost and the connections to the server are closed, as its own answer may still follow on one of them.

Ruled out: an id of the call in a header, which a server might take for a request's id that nobody sent.

Test: stage_caller_test, a_late_copy_of_an_answer_is_no_result (before: the second item gets the first one's result).

--- a/src/connection/backend_caller.cpp
+++ b/src/connection/backend_caller.cpp
@@ -64,4 +64,9 @@
     co_return answer;
 }
 
+void backend_caller::close_connections(const std::string& server)
+{
+    connections_.forget(server);
+}
+
 } // namespace mangolink
--- a/src/connection/backend_caller.hpp
+++ b/src/connection/backend_caller.hpp
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace mangolink
 {
@@ -29,6 +30,9 @@
          milliseconds limit,
          std::weak_ptr<backend_exchange>* running = nullptr);
 
+    /// Closes the idle connections to a server.
+    void close_connections(const std::string& server);
+
 private:
     asio::io_context& io_;
     const forward_protocol& protocol_;
--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -245,7 +245,13 @@
 {
     const auto start_time = boot_clock::now();
     const auto limit = entry.queue.call_timeout(items.size());
-    const call_result result = co_await exchange(server, items, limit);
+    call_result result = co_await exchange(server, items, limit);
+    if (repeats_results(entry, result))
+    {
+        // A late copy of an earlier answer: the call's own one may follow it.
+        calls_.close_connections(server->id);
+        result = {};
+    }
     const auto now = boot_clock::now();
     const auto duration =
         std::chrono::duration_cast<milliseconds>(now - start_time);
@@ -264,6 +270,17 @@
     schedule_processing(entry);
 }
 
+bool stage_caller::repeats_results(server_entry& entry,
+                                   const call_result& result)
+{
+    return std::any_of(result.items.begin(), result.items.end(),
+                       [&entry](const stage_item_answer& answer)
+                       {
+                           return answer.end == stage_item_outcome::made &&
+                                  entry.queue.memory().was_added(answer.handle);
+                       });
+}
+
 asio::awaitable<stage_caller::call_result>
 stage_caller::exchange(server_pointer server,
                        const std::vector<waiting_item>& items,
--- a/src/connection/stage_caller.hpp
+++ b/src/connection/stage_caller.hpp
@@ -114,6 +114,9 @@
                              stage_item_outcome end);
     asio::awaitable<void> make_call(server_entry& entry, server_pointer server,
                                     std::vector<waiting_item> items);
+
+    /// Returns whether the answer of a call has results of an earlier one.
+    static bool repeats_results(server_entry& entry, const call_result& result);
     asio::awaitable<call_result>
     exchange(server_pointer server, const std::vector<waiting_item>& items,
              milliseconds limit);
--- a/tests/platform/stage_caller_test.cpp
+++ b/tests/platform/stage_caller_test.cpp
@@ -7,6 +7,7 @@
 #include "request/stage_router.hpp"
 #include "roles/gateway_settings.hpp"
 #include "roles/gateway_state.hpp"
+#include "standins/standin_server.hpp"
 #include "support/section.hpp"
 
 namespace mangolink::test
@@ -22,16 +23,18 @@
     void item_ended(stage_item, stage_item_answer answer) override
     {
         outcomes.push_back(answer.end);
+        handle = answer.handle;
     }
 
     std::vector<stage_item_outcome> outcomes;
+    std::string handle; ///< of the last outcome
 };
 
 /// Stage caller with one stage server, driven handler by handler.
 class caller_of_one_server final
 {
 public:
-    caller_of_one_server()
+    explicit caller_of_one_server(const socket_address& address)
         : connections_(
               io_, [](const backend_server&) { return 4; }, metrics_),
           calls_(io_, protocol_, connections_), state_(gateway_settings()),
@@ -45,6 +48,7 @@
         service.pool->batch_size = 4;
         service.pool->call_time = milliseconds(100);
         service.pool->result_memory_bytes = 10'000;
+        service.pool->result_lifetime = milliseconds(4000);
         gateway_configuration_data data;
         data.version = 1;
         data.services = {service};
@@ -53,20 +57,20 @@
         server.id = "encode-1";
         server.service = "encode";
         server.zone = "zone-a";
-        server.address = {"127.0.0.1", 1}; // refuses connections
+        server.address = address;
         state_.directory().put(server);
     }
 
     ~caller_of_one_server() { io_.destroy_pending_handlers(); }
 
-    void enqueue_item()
+    void enqueue_item(const std::shared_ptr<single_item_client>& client)
     {
         auto task = std::make_shared<stage_task>();
         task->client = client;
         task->request_id = "r1";
         task->service = "encode";
         task->items = {0};
-        task->due = boot_clock::now() + milliseconds(500);
+        task->due = boot_clock::now() + milliseconds(2000);
         task->deadline = task->due;
         caller_.enqueue("encode-1", task);
     }
@@ -85,13 +89,14 @@
         }
     }
 
-    void run_until_idle() { io_.run_for(milliseconds(200)); }
+    void run_until_idle()
+    {
+        io_.restart();
+        io_.run_for(milliseconds(200));
+    }
 
     bool busy() const { return caller_.busy(); }
 
-    std::shared_ptr<single_item_client> client =
-        std::make_shared<single_item_client>();
-
 private:
     abortable_io_context io_;
     metrics_registry metrics_;
@@ -105,11 +110,27 @@
 
 } // namespace
 
-/// Calls of a stage server whose entry is removed at any point of a call.
+/// Answers one item with a handle; from the second call on the answer follows
+/// a copy of the first.
+scripted_answer answer_with_copy(unsigned call)
+{
+    const auto bytes = [](unsigned number)
+    {
+        const std::string body = R"({"entries":[{"handle":"127.0.0.1:1/)" +
+                                 std::to_string(number) + R"("}]})";
+        return scripted_answer::of(200, body).parts.front().bytes;
+    };
+    scripted_answer script;
+    script.parts.push_back({(call > 1 ? bytes(1) : "") + bytes(call), {}});
+    return script;
+}
+
+/// Calls of a stage server that is removed, or that repeats an answer.
 class stage_caller_test final : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(stage_caller_test);
     CPPUNIT_TEST(a_server_is_removed_while_a_call_begins);
+    CPPUNIT_TEST(a_late_copy_of_an_answer_is_no_result);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -121,17 +142,42 @@
             section("after " + std::to_string(handlers) + " handlers",
                     [handlers]
                     {
-                        caller_of_one_server calls;
-                        calls.enqueue_item();
+                        const auto client =
+                            std::make_shared<single_item_client>();
+                        caller_of_one_server calls({"127.0.0.1", 1});
+                        calls.enqueue_item(client);
                         calls.run_handlers(handlers);
                         calls.remove_server();
                         calls.run_until_idle();
                         CPPUNIT_ASSERT_EQUAL(std::size_t(1),
-                                             calls.client->outcomes.size());
+                                             client->outcomes.size());
                         CPPUNIT_ASSERT(!calls.busy());
                     });
         }
     }
+
+    void a_late_copy_of_an_answer_is_no_result()
+    {
+        unsigned call_count = 0;
+        standin_server server(
+            [&](const text_request&, const standin_server::reply& reply)
+            { reply(answer_with_copy(++call_count)); });
+        caller_of_one_server calls(server.address());
+        const auto first = std::make_shared<single_item_client>();
+        const auto second = std::make_shared<single_item_client>();
+        calls.enqueue_item(first);
+        calls.run_until_idle();
+        CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:1/1"), first->handle);
+        calls.enqueue_item(second);
+        calls.run_until_idle();
+        section("the second item does not get the result of the first",
+                [&]
+                {
+                    CPPUNIT_ASSERT(second->outcomes ==
+                                   std::vector{stage_item_outcome::failed});
+                    CPPUNIT_ASSERT(second->handle.empty());
+                });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(stage_caller_test);
