Bound the groups of stage servers and the choice among them

(2) Each choice of a stage server went through all servers of the service, some 700, several times a request. (3) The directory rebuilt its indexes after each entry of a list, so that reading the list of n servers cost n squared; every process paid it at its start, and all of them after all were killed.

Change: server_groups divides a pool in a zone into groups of twelve servers on average, by a power of two, each with an owner; a process chooses among 24 servers of its zone and 8 of each other zone at most. The directory rebuilds its indexes once, at the first query after changes.

--- a/src/connection/peer_heartbeats.cpp
+++ b/src/connection/peer_heartbeats.cpp
@@ -216,7 +216,7 @@
         std::max(1U, static_cast<std::uint32_t>(self.weight * weight_scale)));
     for (const auto& report : load_reports)
     {
-        write_load_report(report.server, report.load_report,
+        write_load_report(report.server->id, report.load_report,
                           *heartbeat.add_outlooks());
     }
     if (heartbeat_number_ < initial_heartbeats ||
--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -84,8 +84,7 @@
     {
         if (entry->server)
         {
-            result.push_back({id, entry->server->service, entry->server->zone,
-                              entry->queue.load_report(now)});
+            result.push_back({entry->server, entry->queue.load_report(now)});
         }
     }
     return result;
--- a/src/connection/stage_caller.hpp
+++ b/src/connection/stage_caller.hpp
@@ -26,9 +26,7 @@
 /// Load report of a stage server that this process calls.
 struct named_load_report final
 {
-    std::string server;
-    std::string service;
-    std::string zone;
+    std::shared_ptr<const backend_server> server;
     server_load_report load_report;
 };
 
--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -48,7 +48,7 @@
     const auto server =
         pool_parameters == nullptr
             ? nullptr
-            : router_.choose(state_.directory().servers(task->service),
+            : router_.choose(state_.directory().groups().subset(task->service),
                              *pool_parameters, demand_of(*task),
                              boot_clock::now());
     if (!server)
@@ -62,7 +62,7 @@
         }
         return;
     }
-    const peer* owner = peers_.owner_of(server->service, server->zone);
+    const peer* owner = owner_of(*server);
     if (owner == nullptr)
     {
         caller_.enqueue(server->id, task);
@@ -73,6 +73,12 @@
                    asio::detached);
 }
 
+const peer* stage_dispatcher::owner_of(const backend_server& server) const
+{
+    return peers_.owner_of(state_.directory().groups().group_of(server),
+                           server.zone);
+}
+
 void stage_dispatcher::accept(const std::string& server,
                               const std::shared_ptr<const stage_task>& task)
 {
@@ -83,9 +89,9 @@
         caller_.enqueue(server, task); // returns the items as unsent
         return;
     }
-    const auto chosen = router_.choose_in_zone(
-        state_.directory().servers(task->service), expected->zone,
-        *pool_parameters, demand_of(*task), boot_clock::now());
+    const auto chosen =
+        router_.choose(state_.directory().groups().members(*expected),
+                       *pool_parameters, demand_of(*task), boot_clock::now());
     caller_.enqueue(chosen ? chosen->id : server, task);
 }
 
@@ -97,7 +103,7 @@
     const auto server =
         pool_parameters == nullptr
             ? nullptr
-            : router_.choose(state_.directory().servers(service),
+            : router_.choose(state_.directory().groups().subset(service),
                              *pool_parameters, demand, now);
     return server
                ? router_.expected_time(*server, *pool_parameters, demand, now)
@@ -124,12 +130,11 @@
 {
     auto all = caller_.load_reports();
     const auto now = boot_clock::now();
-    std::erase_if(
-        all, [this](const named_load_report& report)
-        { return peers_.owner_of(report.service, report.zone) != nullptr; });
+    std::erase_if(all, [this](const named_load_report& report)
+                  { return owner_of(*report.server) != nullptr; });
     for (const auto& report : all)
     {
-        router_.update_load_report(report.server, report.load_report, now);
+        router_.update_load_report(report.server->id, report.load_report, now);
     }
     return all;
 }
@@ -241,7 +246,7 @@
         {
             continue; // the results were lost with their server
         }
-        const peer* owner = peers_.owner_of(server->service, server->zone);
+        const peer* owner = owner_of(*server);
         if (owner == nullptr)
         {
             caller_.enqueue_release(server->id, list);
--- a/src/connection/stage_dispatcher.hpp
+++ b/src/connection/stage_dispatcher.hpp
@@ -24,13 +24,14 @@
 
 /// Dispatches stage tasks to stage servers.
 ///
-/// One process, the owner, batches the calls of all stage servers of a pool in
-/// a zone. Calls are therefore full, no server gets more than its memory can
-/// hold, and the owner chooses among the servers by their exact load, while
-/// other processes know it from load reports only. Tasks for servers of other
-/// owners are sent to those, which have until the deadline of the request. If
-/// an owner becomes unresponsive or its connection fails, the task goes to the
-/// next owner; an item may then be executed twice. Used by one thread.
+/// One process, the owner, batches the calls of a group of stage servers: all
+/// of a pool in a zone, or a part if there are many. Calls are therefore full,
+/// no server gets more than its memory can hold, and the owner chooses among
+/// the servers by their exact load, while other processes know it from load
+/// reports only. Tasks for servers of other owners are sent to those, which
+/// have until the deadline of the request. If an owner becomes unresponsive or
+/// its connection fails, the task goes to the next owner; an item may then be
+/// executed twice. Used by one thread.
 class stage_dispatcher final
 {
 public:
@@ -47,7 +48,7 @@
     void submit(std::shared_ptr<const stage_task> task);
 
     /// Accepts a task of another process for this server or another one of its
-    /// pool in the same zone, whichever is expected to finish first.
+    /// group, whichever is expected to finish first.
     void accept(const std::string& server,
                 const std::shared_ptr<const stage_task>& task);
 
@@ -87,6 +88,7 @@
         std::weak_ptr<backend_exchange> exchange;
     };
 
+    const peer* owner_of(const backend_server& server) const;
     stage_demand demand_of(const stage_task& task) const;
     asio::awaitable<void> send_task(std::shared_ptr<const stage_task> task,
                                     server_pointer server, peer owner);
--- a/src/process/backend_directory.cpp
+++ b/src/process/backend_directory.cpp
@@ -7,8 +7,9 @@
 namespace mangolink
 {
 
-backend_directory::backend_directory(milliseconds suspicion_timeout)
-    : suspicion_timeout_(suspicion_timeout)
+backend_directory::backend_directory(milliseconds suspicion_timeout,
+                                     placement place)
+    : suspicion_timeout_(suspicion_timeout), groups_(std::move(place))
 {
 }
 
@@ -47,7 +48,7 @@
     stored.server = std::make_shared<const backend_server>(std::move(server));
     if (changed)
     {
-        index();
+        mark_changed();
     }
     return change;
 }
@@ -68,7 +69,7 @@
         return directory_change::suspected;
     }
     erase(found->first);
-    index();
+    mark_changed();
     return directory_change::removed;
 }
 
@@ -113,7 +114,7 @@
     }
     if (!expired.empty())
     {
-        index();
+        mark_changed();
     }
     return expired;
 }
@@ -122,10 +123,17 @@
 backend_directory::servers(std::string_view service) const
 {
     static const std::vector<server_pointer> none;
+    index();
     const auto found = by_service_.find(std::string(service));
     return found == by_service_.end() ? none : found->second;
 }
 
+const server_groups& backend_directory::groups() const
+{
+    index();
+    return groups_;
+}
+
 backend_directory::server_pointer
 backend_directory::find(std::string_view id) const
 {
@@ -140,6 +148,7 @@
 backend_directory::server_pointer
 backend_directory::find_address(std::string_view address) const
 {
+    index();
     const auto found = by_address_.find(std::string(address));
     return found == by_address_.end() ? nullptr : found->second;
 }
@@ -157,11 +166,21 @@
     servers_.erase(found);
 }
 
-void backend_directory::index()
+void backend_directory::mark_changed()
 {
+    ++version_;
+    indexed_ = false;
+}
+
+void backend_directory::index() const
+{
+    if (indexed_)
+    {
+        return;
+    }
+    indexed_ = true;
     by_service_.clear();
     by_address_.clear();
-    ++version_;
     for (const auto& [id, entry] : servers_)
     {
         if (!entry.server->leaving)
@@ -175,6 +194,7 @@
         std::sort(list.begin(), list.end(),
                   [](const auto& a, const auto& b) { return a->id < b->id; });
     }
+    groups_.rebuild(by_service_);
 }
 
 } // namespace mangolink
--- a/src/process/backend_directory.hpp
+++ b/src/process/backend_directory.hpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.hpp"
 #include "process/backend_server.hpp"
+#include "process/server_groups.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -38,8 +39,10 @@
     using server_pointer = std::shared_ptr<const backend_server>;
 
     /// `suspicion_timeout` must be shorter than the time after which, by the
-    /// rules of the platform, a leaving server must get no more work.
-    explicit backend_directory(milliseconds suspicion_timeout);
+    /// rules of the platform, a leaving server must get no more work. `place`
+    /// is that of this process.
+    explicit backend_directory(milliseconds suspicion_timeout,
+                               placement place = {});
 
     /// Adds or updates a server. An entry older than the known one of the same
     /// id is ignored, also if the server was removed since.
@@ -62,6 +65,9 @@
     /// Returns the servers of a service that accept new work.
     const std::vector<server_pointer>& servers(std::string_view service) const;
 
+    /// Returns the groups and subsets of the servers that accept new work.
+    const server_groups& groups() const;
+
     /// Returns the server with this id, or null if it accepts no new work.
     server_pointer find(std::string_view id) const;
 
@@ -81,12 +87,19 @@
     };
 
     void erase(const std::string& id);
-    void index();
+    void mark_changed();
+
+    /// Brings the indexes up to date: once for all changes since the last
+    /// query, since a complete list changes hundreds of servers.
+    void index() const;
 
     milliseconds suspicion_timeout_;
     absl::flat_hash_map<std::string, directory_entry> servers_;
-    absl::flat_hash_map<std::string, std::vector<server_pointer>> by_service_;
-    absl::flat_hash_map<std::string, server_pointer> by_address_; ///< IP:PORT
+    mutable bool indexed_ = true;
+    mutable server_groups::servers_by_service by_service_;
+    mutable absl::flat_hash_map<std::string, server_pointer>
+        by_address_; ///< IP:PORT
+    mutable server_groups groups_;
     absl::flat_hash_map<std::string, server_pointer>
         removed_; ///< last known entries
     std::uint64_t version_ = 0;
--- a/src/process/peer_directory.cpp
+++ b/src/process/peer_directory.cpp
@@ -192,7 +192,7 @@
     }
 }
 
-const peer* peer_directory::owner_of(std::string_view service,
+const peer* peer_directory::owner_of(std::string_view group,
                                      std::string_view zone) const
 {
     const peer* best = nullptr;
@@ -206,7 +206,7 @@
             return;
         }
         const double rank = weighted_rank(
-            stable_hash(service, stable_hash(process.name)), process.weight);
+            stable_hash(group, stable_hash(process.name)), process.weight);
         if (best == nullptr || preference > best_preference || rank > best_rank)
         {
             best = &process;
--- a/src/process/peer_directory.hpp
+++ b/src/process/peer_directory.hpp
@@ -57,7 +57,7 @@
 };
 
 /// Tracks by heartbeats which processes of the same role are alive, and
-/// determines which of them owns the backend servers of a pool in a zone.
+/// determines which of them owns a group of backend servers.
 ///
 /// The views of two processes may differ temporarily, so that the owner is not
 /// unique. Correctness must not depend on it, only efficiency. Not thread-safe.
@@ -95,9 +95,9 @@
     /// owns servers only if no other process can.
     void suspect(const std::string& name);
 
-    /// Returns the peer that owns the servers of a service in a zone, or null
-    /// if this process owns them.
-    const peer* owner_of(std::string_view service, std::string_view zone) const;
+    /// Returns the peer that owns a group of servers in a zone, or null if this
+    /// process owns them.
+    const peer* owner_of(std::string_view group, std::string_view zone) const;
 
     /// Returns the processes that read the platform on behalf of the own zone:
     /// a few chosen by rendezvous hashing, none of them stopping. This process
--- a/src/request/stage_router.cpp
+++ b/src/request/stage_router.cpp
@@ -73,16 +73,6 @@
     return best;
 }
 
-stage_router::server_pointer stage_router::choose_in_zone(
-    std::vector<server_pointer> servers, std::string_view zone,
-    const stage_pool_parameters& parameters, const stage_demand& demand,
-    boot_clock::time_point now) const
-{
-    std::erase_if(servers, [zone](const server_pointer& server)
-                  { return server->zone != zone; });
-    return choose(servers, parameters, demand, now);
-}
-
 bool stage_router::is_ejected(const std::string& server,
                               boot_clock::time_point now) const
 {
--- a/src/request/stage_router.hpp
+++ b/src/request/stage_router.hpp
@@ -55,14 +55,6 @@
                           const stage_demand& demand,
                           boot_clock::time_point now) const;
 
-    /// Same, among the servers of a zone. For the owner of a pool in that zone,
-    /// which updates the load reports of its servers at each change.
-    server_pointer choose_in_zone(std::vector<server_pointer> servers,
-                                  std::string_view zone,
-                                  const stage_pool_parameters& parameters,
-                                  const stage_demand& demand,
-                                  boot_clock::time_point now) const;
-
     /// Returns the expected time until a server has processed the items.
     milliseconds expected_time(const backend_server& server,
                                const stage_pool_parameters& parameters,
--- a/src/roles/gateway_state.cpp
+++ b/src/roles/gateway_state.cpp
@@ -22,6 +22,11 @@
 /// Number of processes assumed to share the slack until peers are known.
 constexpr std::size_t assumed_processes = 8;
 
+placement place_of(const gateway_settings& settings)
+{
+    return {settings.name, settings.zone, settings.own_region_zones()};
+}
+
 } // namespace
 
 gateway_state::gateway_state(const gateway_settings& settings)
@@ -30,8 +35,8 @@
                              settings.retry_window},
       slack_share_(1.0 / assumed_processes),
       freshness_(settings.revocation_limit, freshness_margin),
-      directory_(suspicion_timeout),
-      balancer_({settings.name, settings.zone, settings.own_region_zones()})
+      directory_(suspicion_timeout, place_of(settings)),
+      balancer_(place_of(settings))
 {
 }
 
--- a/tests/unit/backend_directory_test.cpp
+++ b/tests/unit/backend_directory_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(late_reports_change_nothing);
     CPPUNIT_TEST(a_server_may_return_under_its_id);
     CPPUNIT_TEST(expired_entries_may_return);
+    CPPUNIT_TEST(a_list_of_thousands_is_applied_at_once);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -48,6 +49,22 @@
         CPPUNIT_ASSERT(!directory_.find_address("127.0.0.1:9000"));
     }
 
+    void a_list_of_thousands_is_applied_at_once()
+    {
+        constexpr std::size_t count = 5000;
+        // Every gateway reads the list at its start, and all may start at once.
+        constexpr milliseconds limit{2000};
+        std::vector<backend_server> list;
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            list.push_back(make_entry("s" + std::to_string(i), 5, 1));
+        }
+        const auto begin = boot_clock::now();
+        directory_.replace_all(std::move(list), false, begin);
+        CPPUNIT_ASSERT_EQUAL(count, usable());
+        CPPUNIT_ASSERT(boot_clock::now() - begin < limit);
+    }
+
     void late_reports_change_nothing()
     {
         directory_.put(make_entry("s1", 5, 3, true));
--- a/tests/unit/stage_placement_test.cpp
+++ b/tests/unit/stage_placement_test.cpp
@@ -104,8 +104,8 @@
         task->due = now_ + milliseconds(2000);
         task->deadline = task->due;
         auto& router = routers_[random_() % routers_.size()];
-        const auto chosen = router.choose_in_zone(servers_, zone, parameters_,
-                                                  {items, 0, {}, {}, {}}, now_);
+        const auto chosen =
+            router.choose(servers_, parameters_, {items, 0, {}, {}, {}}, now_);
         router.count_sent_items(chosen->id, items);
         const auto at = std::find(servers_.begin(), servers_.end(), chosen);
         queues_[static_cast<std::size_t>(at - servers_.begin())].add(task);
