Scan a stream for the end of an event only once

Cause: the test of an endless event ended with 504 at the deadline under the address sanitizer. Each part that arrived was appended to the pending event and the whole of it was searched for its end: with parts of 12 bytes the search costs the square of the event's size, a whole core for a second at 1 MB.

Change: only the new part, and one byte before it, is searched; nothing is passed on before an event is complete. An event has 256 KB at most (was 1 MB since the change before).

Test: unsound_answer_test::endless_answers_are_given_up (failed under the address sanitizer, passes now; bounds unchanged).

Conclusion: a server that sends an event in single bytes no longer costs a core.

--- a/src/connection/forward_attempt.cpp
+++ b/src/connection/forward_attempt.cpp
@@ -13,7 +13,14 @@
 {
 
 constexpr std::size_t max_answer_bytes = 16 * 1024 * 1024;
-constexpr std::size_t max_event_bytes = 1024 * 1024;
+constexpr std::size_t max_event_bytes = 256 * 1024;
+
+/// Returns whether an event is complete, given that none was in the first
+/// `known` bytes.
+bool has_complete_event(const std::string& pending, std::size_t known)
+{
+    return pending.find("\n\n", known > 0 ? known - 1 : 0) != std::string::npos;
+}
 
 constexpr unsigned conflict = 409;
 constexpr unsigned misdirected = 421;
@@ -157,6 +164,7 @@
     while (!exchange_->complete())
     {
         bool open = false;
+        const auto known = pending.size();
         {
             const auto since_event = std::chrono::duration_cast<milliseconds>(
                 boot_clock::now() - last_event);
@@ -172,6 +180,11 @@
             first = false;
             on_first();
         }
+        if (open && pending.size() <= max_event_bytes &&
+            !has_complete_event(pending, known))
+        {
+            continue;
+        }
         const auto forwarded =
             co_await stream.forward(exchange_->head(), pending, resumed);
         caller_gone_ = forwarded == forward_result::caller_gone;
