Share the test client of stage items

Cause: found on reading the change: two tests of stage tasks had the same recording client under two names.

Change: tests/support/item_client.hpp; tests only, no check changed.

Conclusion: one client for both.

--- a/tests/platform/stage_caller_test.cpp
+++ b/tests/platform/stage_caller_test.cpp
@@ -8,6 +8,7 @@
 #include "roles/gateway_settings.hpp"
 #include "roles/gateway_state.hpp"
 #include "standins/standin_server.hpp"
+#include "support/item_client.hpp"
 #include "support/section.hpp"
 
 namespace mangolink::test
@@ -15,21 +16,6 @@
 namespace
 {
 
-/// Client that records how its only item ended.
-class single_item_client final : public stage_client
-{
-public:
-    bool wants_items() const override { return outcomes.empty(); }
-    void item_ended(stage_item, stage_item_answer answer) override
-    {
-        outcomes.push_back(answer.end);
-        handle = answer.handle;
-    }
-
-    std::vector<stage_item_outcome> outcomes;
-    std::string handle; ///< of the last outcome
-};
-
 /// Stage caller with one stage server, driven handler by handler.
 class caller_of_one_server final
 {
@@ -63,7 +49,7 @@
 
     ~caller_of_one_server() { io_.destroy_pending_handlers(); }
 
-    void enqueue_item(const std::shared_ptr<single_item_client>& client)
+    void enqueue_item(const std::shared_ptr<item_client>& client)
     {
         auto task = std::make_shared<stage_task>();
         task->client = client;
@@ -142,8 +128,7 @@
             section("after " + std::to_string(handlers) + " handlers",
                     [handlers]
                     {
-                        const auto client =
-                            std::make_shared<single_item_client>();
+                        const auto client = std::make_shared<item_client>();
                         caller_of_one_server calls({"127.0.0.1", 1});
                         calls.enqueue_item(client);
                         calls.run_handlers(handlers);
@@ -163,8 +148,8 @@
             [&](const text_request&, const standin_server::reply& reply)
             { reply(answer_with_copy(++call_count)); });
         caller_of_one_server calls(server.address());
-        const auto first = std::make_shared<single_item_client>();
-        const auto second = std::make_shared<single_item_client>();
+        const auto first = std::make_shared<item_client>();
+        const auto second = std::make_shared<item_client>();
         calls.enqueue_item(first);
         calls.run_until_idle();
         CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:1/1"), first->handle);
--- a/tests/platform/stage_dispatcher_test.cpp
+++ b/tests/platform/stage_dispatcher_test.cpp
@@ -7,6 +7,7 @@
 #include "roles/gateway_settings.hpp"
 #include "roles/gateway_state.hpp"
 #include "standins/standin_server.hpp"
+#include "support/item_client.hpp"
 #include "support/section.hpp"
 
 namespace mangolink::test
@@ -14,19 +15,6 @@
 namespace
 {
 
-/// Client that records how its only item ended.
-class item_client final : public stage_client
-{
-public:
-    bool wants_items() const override { return outcomes.empty(); }
-    void item_ended(stage_item, stage_item_answer answer) override
-    {
-        outcomes.push_back(answer.end);
-    }
-
-    std::vector<stage_item_outcome> outcomes;
-};
-
 gateway_settings settings_of(const std::string& name)
 {
     gateway_settings settings;
