Log every end of a caller's connection and of a server's attempt

Now: the line of a request follows its answer and says so if that could not be written; the end of a connection with bytes of a request, or of a caller beyond the limit, has a line; an attempt says whether a time limit ended it and how long its server was silent; an exception is an error line with the name of the work. No decision changes.

--- a/src/connection/caller_session.cpp
+++ b/src/connection/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "connection/caller_session.hpp"
 
-#include "base/metrics.hpp"
+#include "base/log.hpp"
+#include "connection/failure_log.hpp"
 #include "connection/forward_run.hpp"
 #include "connection/gateway_context.hpp"
 #include "connection/scoped_timeout.hpp"
@@ -98,11 +99,7 @@
     const scoped_timeout timeout(context_.io, write_timeout,
                                  [this] { close(); });
     co_await http::async_write(socket_, response, redirect_to(error));
-    if (error)
-    {
-        close();
-    }
-    co_return !error;
+    co_return written(error);
 }
 
 asio::awaitable<bool> caller_session::begin_stream(http::response_header<> head)
@@ -117,11 +114,7 @@
     const scoped_timeout timeout(context_.io, write_timeout,
                                  [this] { close(); });
     co_await http::async_write_header(socket_, serializer, redirect_to(error));
-    if (error)
-    {
-        close();
-    }
-    co_return !error;
+    co_return written(error);
 }
 
 asio::awaitable<bool> caller_session::send(std::string_view part)
@@ -139,11 +132,7 @@
     {
         co_await asio::async_write(socket_, bytes, redirect_to(error));
     }
-    if (error)
-    {
-        close();
-    }
-    co_return !error;
+    co_return written(error);
 }
 
 asio::awaitable<bool> caller_session::end_stream()
@@ -156,11 +145,17 @@
         const auto last_chunk = http::make_chunk_last();
         co_await asio::async_write(socket_, last_chunk, redirect_to(error));
     }
+    co_return written(error);
+}
+
+bool caller_session::written(const error_code& error)
+{
     if (error)
     {
+        log_end("Answer not written.", error.message());
         close();
     }
-    co_return !error;
+    return !error;
 }
 
 void caller_session::cut()
@@ -175,8 +170,17 @@
         co_return true;
     }
     error_code error;
-    const scoped_timeout timeout(context_.io, context_.limits().idle_timeout,
-                                 [this] { close(); });
+    const scoped_timeout timeout(
+        context_.io, context_.limits().idle_timeout,
+        [this]
+        {
+            if (peek_socket(socket_) == socket_read_state::bytes)
+            {
+                log_end("Bytes discarded at the end of a connection.",
+                        "idle limit");
+            }
+            close();
+        });
     co_await socket_.async_wait(tcp::socket::wait_read, redirect_to(error));
     co_return !error && !closed_;
 }
@@ -244,7 +248,7 @@
         context_.io,
         [self = shared_from_this(), run]
         { return self->watch_for_disconnect(run); },
-        asio::detached);
+        failure_log("disconnect watch"));
     co_await run->serve();
     error_code ignored; // ends watch_for_disconnect(), the only pending wait
     socket_.cancel(ignored);
@@ -278,14 +282,27 @@
     const scoped_timeout timeout(context_.io, linger_timeout,
                                  [this] { close(); });
     std::array<char, 4096> ignored{};
+    std::size_t discarded = buffer_.size();
     while (!error && !closed_)
     {
-        co_await socket_.async_read_some(asio::buffer(ignored),
-                                         redirect_to(error));
+        discarded += co_await socket_.async_read_some(asio::buffer(ignored),
+                                                      redirect_to(error));
+    }
+    if (discarded > 0)
+    {
+        log_end("Bytes discarded at the end of a connection.",
+                std::to_string(discarded) + " bytes");
     }
     close();
 }
 
+void caller_session::log_end(std::string_view message,
+                             const std::string& reason) const
+{
+    log_notice("caller", message,
+               {{"reason", reason}, {"peer", peer_name(socket_)}});
+}
+
 bool caller_session::keeps_open() const
 {
     return keep_alive_ && !closed_ && !context_.stopping;
--- a/src/connection/caller_session.hpp
+++ b/src/connection/caller_session.hpp
@@ -45,6 +45,11 @@
     watch_for_disconnect(std::shared_ptr<forward_run> run);
     asio::awaitable<void> linger_and_close();
     bool keeps_open() const;
+
+    /// Closes the connection after a failed write. Returns whether it
+    /// succeeded.
+    bool written(const error_code& error);
+    void log_end(std::string_view message, const std::string& reason) const;
     void close();
 
     gateway_context& context_;
--- a/src/connection/forward_attempt.cpp
+++ b/src/connection/forward_attempt.cpp
@@ -105,7 +105,11 @@
     std::string result =
         server_->id + " " + names[static_cast<std::size_t>(end_)];
     result += status() == 0 ? "" : " " + std::to_string(status());
-    return result + " " + std::to_string(first_byte_.count()) + " ms";
+    result += timed_out_ ? " by time limit" : "";
+    result += " " + std::to_string(first_byte_.count()) + " ms";
+    return silence_.count() == 0
+               ? result
+               : result + " silent " + std::to_string(silence_.count()) + " ms";
 }
 
 void forward_attempt::end_at_limit(const attempt_limits& limits)
@@ -174,6 +178,8 @@
                 [&] { end_at_limit(limits); });
             open = co_await exchange_->read_some(pending);
         }
+        silence_ = std::max(silence_, std::chrono::duration_cast<milliseconds>(
+                                          boot_clock::now() - last_event));
         const auto received = pending.size();
         if (first && !pending.empty())
         {
--- a/src/connection/forward_attempt.hpp
+++ b/src/connection/forward_attempt.hpp
@@ -82,7 +82,8 @@
     attempt_outcome end_ = attempt_outcome::unsent;
     std::string body_;
     milliseconds first_byte_{0};
-    bool timed_out_ = false; ///< aborted by a time limit
+    milliseconds silence_{0}; ///< longest time between two events
+    bool timed_out_ = false;  ///< aborted by a time limit
     bool caller_gone_ = false;
 };
 
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -460,17 +460,27 @@
         response.set(http::field::retry_after,
                      absl::StrFormat("%.3f", wait.count()));
     }
-    end(response.result_int(), details.reason);
-    co_await channel_.write_response(std::move(response));
+    co_await write_own_answer(std::move(response), std::move(details.reason));
 }
 
 asio::awaitable<void> forward_run::fail(std::string reason)
 {
     const auto status =
         timed_out_ ? http::status::gateway_timeout : http::status::bad_gateway;
-    end(static_cast<unsigned>(status), reason);
     text_response response(status, 11);
-    co_await channel_.write_response(std::move(response));
+    co_await write_own_answer(std::move(response), std::move(reason));
+}
+
+asio::awaitable<void> forward_run::write_own_answer(text_response response,
+                                                    std::string reason)
+{
+    ended_ = true;
+    const auto status = response.result_int();
+    const bool delivered =
+        co_await channel_.write_response(std::move(response));
+    end(delivered ? status : 0,
+        delivered ? std::move(reason)
+                  : reason + ", " + std::to_string(status) + " not delivered");
 }
 
 void forward_run::cut(const std::string& reason)
--- a/src/connection/forward_run.hpp
+++ b/src/connection/forward_run.hpp
@@ -63,6 +63,8 @@
     asio::awaitable<void> deliver(forward_attempt& attempt);
     asio::awaitable<void> refuse(refusal details);
     asio::awaitable<void> fail(std::string reason);
+    asio::awaitable<void> write_own_answer(text_response response,
+                                           std::string reason);
     void cut(const std::string& reason);
     void end(unsigned status, std::string reason);
 
--- a/src/connection/gateway_context.cpp
+++ b/src/connection/gateway_context.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "base/metrics.hpp"
+#include "connection/socket_state.hpp"
 #include "roles/gateway_state.hpp"
 
 namespace mangolink
@@ -20,13 +21,8 @@
     metrics
         .counter("mangolink_unread_requests_total", "status=\"" + code + "\"")
         .add();
-    error_code error;
-    const auto peer = socket.remote_endpoint(error);
     log_notice("caller", "Request could not be read.",
-               {{"status", code},
-                {"peer", error ? error.message()
-                               : peer.address().to_string() + ":" +
-                                     std::to_string(peer.port())}});
+               {{"status", code}, {"peer", peer_name(socket)}});
 }
 
 } // namespace mangolink
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "base/socket_address.hpp"
 #include "connection/caller_session.hpp"
+#include "connection/failure_log.hpp"
 #include "connection/forward_protocol.hpp"
 #include "connection/listening_socket.hpp"
 #include "connection/peer_heartbeats.hpp"
@@ -123,9 +124,9 @@
                    { return static_cast<double>(context_.open_callers); });
     metrics_.gauge("mangolink_idle_backend_connections",
                    [this] { return static_cast<double>(connections_.idle()); });
-    asio::co_spawn(io_, handle_signals(), asio::detached);
-    asio::co_spawn(io_, run_periodic_tasks(), asio::detached);
-    asio::co_spawn(io_, flush_log_loop(), asio::detached);
+    asio::co_spawn(io_, handle_signals(), failure_log("signals"));
+    asio::co_spawn(io_, run_periodic_tasks(), failure_log("periodic tasks"));
+    asio::co_spawn(io_, flush_log_loop(), failure_log("log"));
 }
 
 gateway_server::~gateway_server()
@@ -197,7 +198,8 @@
 void gateway_server::accept_callers()
 {
     caller_acceptor_ = open_acceptor(io_, settings_.caller_address);
-    asio::co_spawn(io_, accept_loop(caller_acceptor_), asio::detached);
+    asio::co_spawn(io_, accept_loop(caller_acceptor_),
+                   failure_log("accept loop"));
 }
 
 void gateway_server::close_caller_acceptor()
@@ -230,13 +232,16 @@
         if (context_.open_callers >= max_open_callers)
         {
             metrics_.counter("mangolink_callers_turned_away_total").add();
+            log_warning("gateway", "Caller turned away.",
+                        {{"open", std::to_string(context_.open_callers)}});
             continue;
         }
         auto session =
             std::make_shared<caller_session>(context_, std::move(socket));
         // The lambda owns the session until the coroutine has ended.
         asio::co_spawn(
-            io_, [session] { return session->run(); }, asio::detached);
+            io_, [session] { return session->run(); },
+            failure_log("caller connection"));
     }
 }
 
@@ -245,7 +250,7 @@
 {
     asio::co_spawn(
         io_, accept_auxiliary(open_acceptor(io_, address), std::move(handle)),
-        asio::detached);
+        failure_log("auxiliary accept loop"));
 }
 
 asio::awaitable<void>
@@ -261,7 +266,7 @@
         {
             asio::co_spawn(
                 io_, serve_auxiliary_connection(std::move(socket), handle),
-                asio::detached);
+                failure_log("auxiliary connection"));
         }
     }
 }
@@ -364,7 +369,7 @@
         if (!context_.stopping)
         {
             context_.stopping = true;
-            asio::co_spawn(io_, stop(), asio::detached);
+            asio::co_spawn(io_, stop(), failure_log("stop"));
         }
     }
 }
--- a/src/connection/peer_heartbeats.cpp
+++ b/src/connection/peer_heartbeats.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "base/metrics.hpp"
+#include "connection/failure_log.hpp"
 #include "connection/listening_socket.hpp"
 #include "connection/stage_dispatcher.hpp"
 #include "connection/task_message.hpp"
@@ -60,8 +61,8 @@
     socket_.open(endpoint.protocol());
     socket_.bind(endpoint);
     socket_.non_blocking(true);
-    asio::co_spawn(io_, receive_loop(), asio::detached);
-    asio::co_spawn(io_, send_loop(), asio::detached);
+    asio::co_spawn(io_, receive_loop(), failure_log("heartbeat receiver"));
+    asio::co_spawn(io_, send_loop(), failure_log("heartbeat sender"));
 }
 
 peer_heartbeats::~peer_heartbeats() = default;
--- a/src/connection/peer_server.cpp
+++ b/src/connection/peer_server.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "base/socket_address.hpp"
+#include "connection/failure_log.hpp"
 #include "connection/listening_socket.hpp"
 #include "connection/peer_call.hpp"
 #include "connection/scoped_timeout.hpp"
@@ -95,7 +96,7 @@
     : io_(io), stages_(stages), updates_(updates),
       acceptor_(open_listening_socket(io, address))
 {
-    asio::co_spawn(io_, accept_loop(), asio::detached);
+    asio::co_spawn(io_, accept_loop(), failure_log("peer accept loop"));
 }
 
 peer_server::~peer_server() = default;
@@ -109,7 +110,8 @@
         co_await acceptor_.async_accept(*socket, redirect_to(error));
         if (!error)
         {
-            asio::co_spawn(io_, serve(std::move(socket)), asio::detached);
+            asio::co_spawn(io_, serve(std::move(socket)),
+                           failure_log("peer connection"));
         }
         else
         {
@@ -179,7 +181,7 @@
     addressed->task->client = pending;
     asio::co_spawn(
         io_, [socket, pending] { return watch_for_close(socket, pending); },
-        asio::detached);
+        failure_log("task watch"));
     stages_.accept(addressed->server, addressed->task);
     co_await pending->wait();
     error_code ignored; // ends watch_for_close(), the only pending wait
--- a/src/connection/socket_state.cpp
+++ b/src/connection/socket_state.cpp
@@ -20,6 +20,15 @@
     return waiting ? socket_read_state::nothing : socket_read_state::closed;
 }
 
+std::string peer_name(const tcp::socket& socket)
+{
+    error_code error;
+    const auto peer = socket.remote_endpoint(error);
+    return error
+               ? error.message()
+               : peer.address().to_string() + ":" + std::to_string(peer.port());
+}
+
 void close_socket(tcp::socket& socket)
 {
     error_code ignored;
--- a/src/connection/socket_state.hpp
+++ b/src/connection/socket_state.hpp
@@ -2,6 +2,8 @@
 
 #include "connection/asio_types.hpp"
 
+#include <string>
+
 namespace mangolink
 {
 
@@ -21,6 +23,9 @@
     return peek_socket(socket) == socket_read_state::closed;
 }
 
+/// Returns the address of the peer for the log.
+std::string peer_name(const tcp::socket& socket);
+
 /// Closes a socket and ignores errors.
 void close_socket(tcp::socket& socket);
 
--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "base/metrics.hpp"
 #include "connection/backend_caller.hpp"
+#include "connection/failure_log.hpp"
 #include "connection/forward_protocol.hpp"
 #include "connection/listening_socket.hpp"
 #include "process/backend_server.hpp"
@@ -72,7 +73,8 @@
     if (!entry->release_scheduled)
     {
         entry->release_scheduled = true;
-        asio::co_spawn(io_, release_results(*entry), asio::detached);
+        asio::co_spawn(io_, release_results(*entry),
+                       failure_log("stage release"));
     }
 }
 
@@ -148,7 +150,7 @@
         return;
     }
     entry.processing_scheduled = true;
-    asio::co_spawn(io_, process_queue(entry), asio::detached);
+    asio::co_spawn(io_, process_queue(entry), failure_log("stage queue"));
 }
 
 asio::awaitable<void> stage_caller::process_queue(server_entry& entry)
@@ -368,7 +370,8 @@
         if (!entry.memory_query_pending)
         {
             entry.memory_query_pending = true;
-            asio::co_spawn(io_, query_free_memory(entry), asio::detached);
+            asio::co_spawn(io_, query_free_memory(entry),
+                           failure_log("memory query"));
         }
     }
 }
--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "base/metrics.hpp"
 #include "connection/backend_exchange.hpp"
+#include "connection/failure_log.hpp"
 #include "connection/forward_protocol.hpp"
 #include "connection/listening_socket.hpp"
 #include "connection/peer_call.hpp"
@@ -70,7 +71,7 @@
     }
     router_.count_sent_items(server->id, task->items.size());
     asio::co_spawn(io_, send_task(std::move(task), server, *owner),
-                   asio::detached);
+                   failure_log("stage task"));
 }
 
 const peer* stage_dispatcher::owner_of(const backend_server& server) const
@@ -116,7 +117,7 @@
     if (!release_pending_ && !to_release_.empty())
     {
         release_pending_ = true;
-        asio::co_spawn(io_, route_releases(), asio::detached);
+        asio::co_spawn(io_, route_releases(), failure_log("stage releases"));
     }
 }
 
@@ -255,7 +256,7 @@
         {
             asio::co_spawn(io_,
                            send_release(*owner, server->id, std::move(list)),
-                           asio::detached);
+                           failure_log("stage release of a peer"));
         }
     }
 }
--- a/src/connection/update_follower.cpp
+++ b/src/connection/update_follower.cpp
@@ -4,6 +4,7 @@
 #include "base/log.hpp"
 #include "base/metrics.hpp"
 #include "connection/backend_exchange.hpp"
+#include "connection/failure_log.hpp"
 #include "connection/listening_socket.hpp"
 #include "connection/peer_call.hpp"
 #include "connection/store_reader_activation.hpp"
@@ -46,7 +47,7 @@
       succeeded_(metrics.counter("mangolink_updates_total", "how=\"taken\"")),
       failed_(metrics.counter("mangolink_updates_total", "how=\"failed\""))
 {
-    asio::co_spawn(io_, run(), asio::detached);
+    asio::co_spawn(io_, run(), failure_log("update follower"));
 }
 
 void update_follower::peers_changed()
