Keep a silent server's answer until another one has begun

What callers saw: a stream cut in the middle, or a 502, from a server that would have gone on. A server silent for 1.5 s (three times the gap objective; 45 % of the time left before the first byte) was given up first and replaced second. When the stages refused, the next address was wrong (421), the next server was full, or attempts or retry budget were used up, nothing was left of the request.

Cause: silence was taken for loss, and an irreversible step (closing the server's connection) came before the reversible one it depended on (finding another).

Why it works: silence now only starts a standby attempt beside the silent one. The silent server is given up when an answer of the standby has begun; every failure of the standby ends the standby alone. When the silent server goes on, the standby is aborted. Stages of the standby are a set of their own, so a refusal of them does not touch the request. choosing, connecting and counting attempts moves to attempt_sender, which both use.

--- /dev/null
+++ b/src/connection/attempt_sender.cpp
@@ -0,0 +1,206 @@
+#include "connection/attempt_sender.hpp"
+
+#include "connection/accepted_request.hpp"
+#include "connection/backend_exchange.hpp"
+#include "connection/backend_pool.hpp"
+#include "connection/forward_attempt.hpp"
+#include "connection/gateway_context.hpp"
+#include "connection/http_headers.hpp"
+#include "connection/request_check.hpp"
+#include "connection/request_stages.hpp"
+#include "connection/stream_forwarder.hpp"
+#include "roles/gateway_state.hpp"
+
+#include <absl/strings/str_join.h>
+
+#include <algorithm>
+
+namespace mangolink
+{
+namespace
+{
+
+/// Connect timeout. A round trip between regions takes about 25 ms, and a full
+/// accept queue drops the first packet.
+constexpr milliseconds connect_limit{700};
+
+/// Number of failed connects after which a request fails.
+constexpr std::uint32_t max_connect_failures = 4;
+
+} // namespace
+
+attempt_sender::attempt_sender(gateway_context& context,
+                               const text_request& request,
+                               const accepted_request& accepted,
+                               const stream_forwarder& stream)
+    : context_(context), request_(request), accepted_(accepted), stream_(stream)
+{
+}
+
+attempt_sender::~attempt_sender() = default;
+
+asio::awaitable<attempt_sender::attempt_pointer>
+attempt_sender::next(const request_stages* stages, std::function<bool()> wanted)
+{
+    auto& state = context_.state;
+    while (unsent_ < max_connect_failures && time_left() > min_time_left &&
+           wanted())
+    {
+        auto server = state.balancer().choose(
+            state.directory().servers(accepted_.service), preferences(stages),
+            boot_clock::now());
+        if (!server)
+        {
+            co_return nullptr;
+        }
+        state.balancer().send_started(server->id);
+        const milliseconds limit = std::min(connect_limit, time_left());
+        auto lease = co_await context_.connections.acquire(server, limit);
+        if (!wanted())
+        {
+            state.balancer().send_ended(server->id, send_outcome::cancelled, {},
+                                        boot_clock::now());
+            if (lease.connection)
+            {
+                context_.connections.release(server->id, lease.connection, {});
+            }
+            co_return nullptr;
+        }
+        // The server may have been removed while the connection was opened.
+        if (lease.connection && state.directory().find(server->id))
+        {
+            auto exchange = std::make_shared<backend_exchange>(
+                lease.connection, context_.protocol,
+                backend_request(*server, stages), accepted_.metadata.id);
+            co_return std::make_unique<forward_attempt>(context_.io, server,
+                                                        std::move(exchange));
+        }
+        ++unsent_;
+        tried_servers_.push_back(server->id);
+        log_.push_back(server->id + " unreachable");
+        state.balancer().send_ended(server->id, send_outcome::failed, {},
+                                    boot_clock::now());
+    }
+    co_return nullptr;
+}
+
+void attempt_sender::count(const forward_attempt& attempt)
+{
+    tried_servers_.push_back(attempt.server()->id);
+    ++sends_;
+}
+
+void attempt_sender::record(const forward_attempt& attempt, bool cancelled)
+{
+    const std::string& id = attempt.server()->id;
+    may_have_run_ = may_have_run_ || attempt.end() == attempt_outcome::broken ||
+                    attempt.end() == attempt_outcome::answered;
+    if (attempt.end() == attempt_outcome::inputs_gone)
+    {
+        // The same server may be used again with new stage results.
+        std::erase(tried_servers_, id);
+        --sends_;
+    }
+    context_.state.balancer().send_ended(id, attempt.outcome(cancelled),
+                                         attempt.first_byte(),
+                                         boot_clock::now());
+    log_.push_back(attempt.text());
+    if (attempt.exchange()->reusable())
+    {
+        context_.connections.release(id, attempt.exchange()->connection(),
+                                     attempt.exchange()->metadata().keep_alive);
+    }
+    else
+    {
+        attempt.exchange()->abort();
+    }
+}
+
+bool attempt_sender::may_send_elsewhere() const
+{
+    const auto& servers = context_.state.directory().servers(accepted_.service);
+    const bool has_server = std::any_of(
+        servers.begin(), servers.end(),
+        [this](const auto& server)
+        {
+            return std::find(tried_servers_.begin(), tried_servers_.end(),
+                             server->id) == tried_servers_.end();
+        });
+    return has_server && accepted_.route->is_retryable() &&
+           sends_ < accepted_.route->max_attempts &&
+           time_left() > min_time_left &&
+           context_.state.retry_budget_of(accepted_.service)
+               .available(boot_clock::now());
+}
+
+std::string attempt_sender::log_text() const
+{
+    return absl::StrJoin(log_, "; ");
+}
+
+text_request attempt_sender::backend_request(const backend_server& server,
+                                             const request_stages* stages) const
+{
+    text_request result;
+    result.base() = request_.base();
+    remove_hop_by_hop_headers(result);
+    backend_metadata metadata;
+    metadata.server_id = server.id;
+    metadata.time_left = std::max(time_left(), milliseconds(1));
+    metadata.priority = accepted_.route->priority;
+    if (accepted_.customer != nullptr)
+    {
+        metadata.customer = accepted_.customer->name;
+        metadata.priority =
+            accepted_.customer->priority.value_or(accepted_.route->priority);
+    }
+    if (stages != nullptr)
+    {
+        for (const auto& input : stages->results())
+        {
+            metadata.stage_results.push_back(input.handle);
+        }
+    }
+    if (stream_.begun())
+    {
+        metadata.last_event = stream_.last_event();
+    }
+    context_.protocol.write_request(result, metadata);
+    result.version(11);
+    result.body() = request_.body();
+    result.prepare_payload();
+    return result;
+}
+
+server_preferences
+attempt_sender::preferences(const request_stages* stages) const
+{
+    server_preferences result;
+    result.affinity =
+        accepted_.route->has_affinity ? accepted_.metadata.affinity : 0;
+    result.shared_tokens = accepted_.metadata.shared_tokens;
+    result.excluded = tried_servers_;
+    result.bytes = request_.body().size();
+    if (stages == nullptr)
+    {
+        return result;
+    }
+    for (const auto& input : stages->results())
+    {
+        const auto result_server = context_.state.directory().find_address(
+            context_.protocol.result_server(input.handle));
+        if (result_server)
+        {
+            result.bytes_in_zone[result_server->zone] += input.bytes;
+        }
+    }
+    return result;
+}
+
+milliseconds attempt_sender::time_left() const
+{
+    return std::chrono::duration_cast<milliseconds>(accepted_.deadline -
+                                                    boot_clock::now());
+}
+
+} // namespace mangolink
--- /dev/null
+++ b/src/connection/attempt_sender.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "connection/asio_types.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mangolink
+{
+
+class forward_attempt;
+class request_stages;
+class stream_forwarder;
+struct accepted_request;
+struct backend_server;
+struct gateway_context;
+struct server_preferences;
+
+/// Prepares the attempts of one request: chooses a server that was not tried,
+/// connects to it, and keeps the record of what was sent. Used by one thread.
+class attempt_sender final
+{
+public:
+    using attempt_pointer = std::unique_ptr<forward_attempt>;
+
+    /// The references must outlive this object.
+    attempt_sender(gateway_context& context, const text_request& request,
+                   const accepted_request& accepted,
+                   const stream_forwarder& stream);
+    ~attempt_sender();
+
+    /// Connects to a server. Returns an attempt that is not sent yet, or null
+    /// if there is no server or `wanted` becomes false. `stages`: those whose
+    /// results the server will read, or null.
+    asio::awaitable<attempt_pointer> next(const request_stages* stages,
+                                          std::function<bool()> wanted);
+
+    /// Counts an attempt that is about to be sent.
+    void count(const forward_attempt& attempt);
+
+    /// Records the outcome of a sent attempt and returns or closes its
+    /// connection. `cancelled`: it ended for a reason unrelated to the server.
+    void record(const forward_attempt& attempt, bool cancelled);
+
+    /// Returns whether the request can be sent to a server that was not tried.
+    bool may_send_elsewhere() const;
+
+    server_preferences preferences(const request_stages* stages) const;
+
+    /// Returns the number of attempts written to a connection.
+    std::uint32_t sends() const { return sends_; }
+
+    /// Returns whether any attempt may have run.
+    bool may_have_run() const { return may_have_run_; }
+
+    /// Returns the servers tried and the outcomes there, for the log.
+    std::string log_text() const;
+
+private:
+    text_request backend_request(const backend_server& server,
+                                 const request_stages* stages) const;
+    milliseconds time_left() const;
+
+    gateway_context& context_;
+    const text_request& request_;
+    const accepted_request& accepted_;
+    const stream_forwarder& stream_;
+    std::vector<std::string> tried_servers_; ///< by id
+    std::vector<std::string> log_;           ///< one entry per attempt
+    std::uint32_t sends_ = 0;
+    std::uint32_t unsent_ = 0;
+    bool may_have_run_ = false;
+};
+
+} // namespace mangolink
--- a/src/connection/forward_attempt.cpp
+++ b/src/connection/forward_attempt.cpp
@@ -42,9 +42,8 @@
 {
 }
 
-asio::awaitable<void> forward_attempt::run(attempt_limits limits,
-                                           stream_forwarder& stream,
-                                           std::function<void()> on_first_event)
+asio::awaitable<void> forward_attempt::start(attempt_limits limits,
+                                             bool answer_begun)
 {
     const auto start_time = boot_clock::now();
     const bool head = co_await read_head(limits);
@@ -57,14 +56,20 @@
     }
     else if (is_stream())
     {
-        co_await read_stream(limits, stream, on_first_event);
+        streams_ = true;
     }
     else
     {
-        co_await read_complete_body(stream.begun());
+        co_await read_complete_body(answer_begun);
     }
 }
 
+void forward_attempt::give_up()
+{
+    timed_out_ = true;
+    exchange_->abort();
+}
+
 bool forward_attempt::server_failure() const
 {
     return status() >= first_server_failure;
@@ -112,20 +117,15 @@
                : result + " silent " + std::to_string(silence_.count()) + " ms";
 }
 
-void forward_attempt::end_at_limit(const attempt_limits& limits)
+asio::awaitable<bool> forward_attempt::read_head(const attempt_limits& limits)
 {
-    if (limits.may_send_elsewhere())
+    const scoped_timeout guard(io_, limits.first_byte, limits.on_silence);
+    const bool read = co_await exchange_->begin();
+    if (read)
     {
-        timed_out_ = true;
-        exchange_->abort();
+        limits.on_progress();
     }
-}
-
-asio::awaitable<bool> forward_attempt::read_head(const attempt_limits& limits)
-{
-    const scoped_timeout guard(io_, limits.first_byte,
-                               [&] { end_at_limit(limits); });
-    co_return co_await exchange_->begin();
+    co_return read;
 }
 
 asio::awaitable<void> forward_attempt::read_complete_body(bool answer_begun)
@@ -156,10 +156,10 @@
 }
 
 asio::awaitable<void>
-forward_attempt::read_stream(const attempt_limits& limits,
-                             stream_forwarder& stream,
-                             const std::function<void()>& on_first)
+forward_attempt::forward_events(attempt_limits limits, stream_forwarder& stream,
+                                std::function<void()> on_first_event)
 {
+    streams_ = false;
     end_ = attempt_outcome::broken;
     const bool resumed = stream.begun();
     bool first = true;
@@ -175,7 +175,7 @@
             const scoped_timeout guard(
                 io_,
                 std::max(limits.between_events - since_event, milliseconds(0)),
-                [&] { end_at_limit(limits); });
+                limits.on_silence);
             open = co_await exchange_->read_some(pending);
         }
         silence_ = std::max(silence_, std::chrono::duration_cast<milliseconds>(
@@ -184,13 +184,17 @@
         if (first && !pending.empty())
         {
             first = false;
-            on_first();
+            on_first_event();
         }
         if (open && pending.size() <= max_event_bytes &&
             !has_complete_event(pending, known))
         {
             continue;
         }
+        if (open)
+        {
+            limits.on_progress();
+        }
         const auto forwarded =
             co_await stream.forward(exchange_->head(), pending, resumed);
         caller_gone_ = forwarded == forward_result::caller_gone;
--- a/src/connection/forward_attempt.hpp
+++ b/src/connection/forward_attempt.hpp
@@ -16,13 +16,14 @@
 class stream_forwarder;
 struct backend_server;
 
-/// Time limits of an attempt. The attempt ends at a limit only if the request
-/// can be sent elsewhere; otherwise it goes on until the request ends.
+/// When the server of an attempt counts as silent, and what follows. Silence
+/// does not end the attempt: a sound server may go on.
 struct attempt_limits final
 {
     milliseconds first_byte{0};
     milliseconds between_events{0}; ///< between two complete events
-    std::function<bool()> may_send_elsewhere;
+    std::function<void()> on_silence;
+    std::function<void()> on_progress; ///< the server goes on
 };
 
 /// Sends a request to a backend server once and classifies the outcome. Used by
@@ -34,13 +35,32 @@
                     std::shared_ptr<const backend_server> server,
                     std::shared_ptr<backend_exchange> exchange);
 
-    /// Sends the request and reads the answer. Stream events are forwarded as
-    /// they arrive; `on_first_event` is called before the first one.
-    asio::awaitable<void> run(attempt_limits limits, stream_forwarder& stream,
-                              std::function<void()> on_first_event);
+    /// Sends the request and reads the answer up to its first event, or
+    /// completely if it is no stream. `answer_begun`: the caller has received
+    /// a part of the answer, which only a stream can continue.
+    asio::awaitable<void> start(attempt_limits limits, bool answer_begun);
+
+    /// Forwards the events of the stream as they arrive; `on_first_event` is
+    /// called before the first one.
+    asio::awaitable<void> forward_events(attempt_limits limits,
+                                         stream_forwarder& stream,
+                                         std::function<void()> on_first_event);
+
+    /// Ends the attempt because another server answers in its place.
+    void give_up();
 
     attempt_outcome end() const { return end_; }
 
+    /// Returns whether the answer is a stream whose events are not read yet.
+    bool streams() const { return streams_; }
+
+    /// Returns whether the attempt has an answer for the caller.
+    bool has_answer() const
+    {
+        return streams_ ||
+               (end_ == attempt_outcome::answered && !server_failure());
+    }
+
     /// Returns whether the caller disconnected while events were forwarded.
     bool caller_gone() const { return caller_gone_; }
 
@@ -70,10 +90,6 @@
 private:
     asio::awaitable<bool> read_head(const attempt_limits& limits);
     asio::awaitable<void> read_complete_body(bool answer_begun);
-    asio::awaitable<void> read_stream(const attempt_limits& limits,
-                                      stream_forwarder& stream,
-                                      const std::function<void()>& on_first);
-    void end_at_limit(const attempt_limits& limits);
     bool is_stream() const;
 
     asio::io_context& io_;
@@ -83,7 +99,8 @@
     std::string body_;
     milliseconds first_byte_{0};
     milliseconds silence_{0}; ///< longest time between two events
-    bool timed_out_ = false;  ///< aborted by a time limit
+    bool streams_ = false;
+    bool timed_out_ = false; ///< given up while the server was silent
     bool caller_gone_ = false;
 };
 
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -1,7 +1,6 @@
 #include "connection/forward_run.hpp"
 
 #include "connection/backend_exchange.hpp"
-#include "connection/backend_pool.hpp"
 #include "connection/gateway_context.hpp"
 #include "connection/http_headers.hpp"
 #include "connection/request_check.hpp"
@@ -9,11 +8,11 @@
 #include "connection/request_stages.hpp"
 #include "connection/response_writer.hpp"
 #include "connection/scoped_timeout.hpp"
+#include "connection/standby_attempt.hpp"
 #include "roles/gateway_settings.hpp"
 #include "roles/gateway_state.hpp"
 
 #include <absl/strings/str_format.h>
-#include <absl/strings/str_join.h>
 
 #include <algorithm>
 
@@ -22,25 +21,18 @@
 namespace
 {
 
-/// Connect timeout. A round trip between regions takes about 25 ms, and a full
-/// accept queue drops the first packet.
-constexpr milliseconds connect_limit{700};
-
-/// Number of failed connects after which a request fails.
-constexpr std::uint32_t max_connect_failures = 4;
-
 /// Time added to the deadline before a request is ended, so that an answer that
 /// the server sends at the deadline is still delivered.
 constexpr milliseconds deadline_grace{60};
 
-/// Share of the time left after which an attempt without a first byte is ended
-/// while a retry is possible, and the lower limits of that time.
+/// Share of the time left after which a server that has sent no byte counts as
+/// silent, and the lower limits of that time.
 constexpr double first_attempt_share = 0.45;
 constexpr milliseconds min_first_byte_wait{300};
 constexpr milliseconds min_stream_wait{1500};
 
-/// A resumable stream moves to another server after a gap of this multiple of
-/// the route's gap objective.
+/// The server of a stream counts as silent after a gap of this multiple of the
+/// route's gap objective.
 constexpr int max_gap_factor = 3;
 
 } // namespace
@@ -73,13 +65,14 @@
         co_return;
     }
     stream_.emplace(channel_, context_.protocol, accepted_.metadata.last_event);
+    sender_.emplace(context_, request_, accepted_, *stream_);
     const scoped_timeout guard(context_.io, time_left() + deadline_grace,
                                [this]
                                {
                                    timed_out_ = true;
                                    stop_waiting();
                                });
-    prepare_stages();
+    stages_ = make_stages();
     if (!stages_ || co_await run_stages())
     {
         co_await send_until_answered();
@@ -102,19 +95,23 @@
     {
         stages_->stop();
     }
-    if (exchange_)
+    if (current_ != nullptr)
+    {
+        current_->exchange()->abort();
+    }
+    if (standby_)
     {
-        exchange_->abort();
+        standby_->stop();
     }
 }
 
-void forward_run::prepare_stages()
+std::shared_ptr<request_stages> forward_run::make_stages()
 {
     if (accepted_.route->stages.empty())
     {
-        return;
+        return nullptr;
     }
-    const auto wanted = preferences();
+    const auto wanted = sender_->preferences(nullptr);
     const auto engine = context_.state.balancer().choose(
         context_.state.directory().servers(accepted_.service), wanted,
         boot_clock::now());
@@ -128,7 +125,7 @@
         expected_first_event_time;
     parameters.preferred_zone = engine ? engine->zone : "";
     parameters.preference = direct_balancer::affinity_gain(wanted);
-    stages_ = std::make_shared<request_stages>(
+    return std::make_shared<request_stages>(
         context_.io, context_.stages, *accepted_.route,
         accepted_.metadata.item_counts, std::move(parameters));
 }
@@ -155,7 +152,7 @@
     {
         cut(reason);
     }
-    else if (may_have_run_)
+    else if (sender_->may_have_run())
     {
         co_await fail(std::move(reason));
     }
@@ -170,13 +167,25 @@
 
 asio::awaitable<void> forward_run::send_until_answered()
 {
+    const std::function<bool()> still_wanted = [this]
+    { return !caller_gone_ && !timed_out_; };
     bool continues = true;
+    attempt_pointer standby;
     while (continues)
     {
-        const auto attempt = co_await next_attempt();
+        auto attempt = std::exchange(standby, nullptr);
+        if (!attempt)
+        {
+            attempt = co_await sender_->next(stages_.get(), still_wanted);
+        }
         if (attempt)
         {
             co_await run_attempt(*attempt);
+            standby = co_await take_standby(*attempt);
+        }
+        if (standby)
+        {
+            continue;
         }
         if (caller_gone_)
         {
@@ -230,8 +239,8 @@
 next_step forward_run::choose_next_step(const forward_attempt* last)
 {
     request_progress progress;
-    progress.sends = sends_;
-    progress.may_have_run = may_have_run_;
+    progress.sends = sender_->sends();
+    progress.may_have_run = sender_->may_have_run();
     progress.answer_begun = stream_->begun();
     progress.time_left =
         last != nullptr && !timed_out_ && time_left() > min_time_left;
@@ -247,151 +256,160 @@
     return step;
 }
 
-asio::awaitable<std::unique_ptr<forward_attempt>> forward_run::next_attempt()
+asio::awaitable<void> forward_run::run_attempt(forward_attempt& attempt)
 {
-    auto& state = context_.state;
-    while (unsent_ < max_connect_failures && time_left() > min_time_left &&
-           !timed_out_)
-    {
-        auto server = state.balancer().choose(
-            state.directory().servers(accepted_.service), preferences(),
-            boot_clock::now());
-        if (!server)
-        {
-            co_return nullptr;
-        }
-        state.balancer().send_started(server->id);
-        const milliseconds limit = std::min(connect_limit, time_left());
-        auto lease = co_await context_.connections.acquire(server, limit);
-        if (caller_gone_ || timed_out_)
-        {
-            state.balancer().send_ended(server->id, send_outcome::cancelled, {},
-                                        boot_clock::now());
-            co_return nullptr;
-        }
-        // The server may have been removed while the connection was opened.
-        if (lease.connection && state.directory().find(server->id))
+    current_ = &attempt;
+    if (!attempt.has_answer())
+    {
+        sender_->count(attempt);
+        co_await attempt.start(limits(), stream_->begun());
+    }
+    if (attempt.streams())
+    {
+        const std::function<void()> on_first_event = [this]
         {
-            auto exchange = std::make_shared<backend_exchange>(
-                lease.connection, context_.protocol, backend_request(*server),
-                accepted_.metadata.id);
-            co_return std::make_unique<forward_attempt>(context_.io, server,
-                                                        std::move(exchange));
-        }
-        ++unsent_;
-        tried_servers_.push_back(server->id);
-        attempt_log_.push_back(server->id + " unreachable");
-        state.balancer().send_ended(server->id, send_outcome::failed, {},
-                                    boot_clock::now());
+            // The server has read the stage results.
+            if (stages_)
+            {
+                stages_->restart();
+            }
+        };
+        co_await attempt.forward_events(limits(), *stream_, on_first_event);
     }
-    co_return nullptr;
+    current_ = nullptr;
+    caller_gone_ = caller_gone_ || attempt.caller_gone();
+    sender_->record(attempt, caller_gone_);
+    inputs_gone_ = attempt.end() == attempt_outcome::inputs_gone;
 }
 
-asio::awaitable<void> forward_run::run_attempt(forward_attempt& attempt)
+void forward_run::start_standby()
 {
-    exchange_ = attempt.exchange();
-    const std::string& id = attempt.server()->id;
-    tried_servers_.push_back(id);
-    ++sends_;
-    const attempt_limits time_limits = limits();
-    const std::function<void()> on_first_event = [this]
-    {
-        // The server has read the stage results.
-        if (stages_)
+    if (standby_ || !sender_->may_send_elsewhere())
+    {
+        return;
+    }
+    standby_ = std::make_shared<standby_attempt>(
+        context_.io,
+        [self = shared_from_this()](standby_attempt& standby)
+        { return self->send_standby(standby); },
+        [this]
         {
-            stages_->restart();
-        }
-    };
-    co_await attempt.run(time_limits, *stream_, on_first_event);
-    exchange_.reset();
-    caller_gone_ = caller_gone_ || attempt.caller_gone();
-    may_have_run_ = may_have_run_ || attempt.end() == attempt_outcome::broken ||
-                    attempt.end() == attempt_outcome::answered;
-    inputs_gone_ = attempt.end() == attempt_outcome::inputs_gone;
-    if (inputs_gone_)
+            if (current_ != nullptr)
+            {
+                current_->give_up();
+            }
+        });
+    standby_->start();
+}
+
+void forward_run::stop_standby()
+{
+    // One that is ready has already ended the current attempt.
+    if (standby_ && !standby_->ready())
+    {
+        standby_->stop();
+        standby_.reset();
+    }
+}
+
+asio::awaitable<forward_run::attempt_pointer>
+forward_run::send_standby(standby_attempt& standby)
+{
+    if (!stages_ || !stream_->begun())
     {
-        // The same server may be used again with new stage results.
-        tried_servers_.pop_back();
-        --sends_;
+        co_return co_await send_elsewhere(standby, stages_);
     }
-    context_.state.balancer().send_ended(id, attempt.outcome(caller_gone_),
-                                         attempt.first_byte(),
-                                         boot_clock::now());
-    attempt_log_.push_back(attempt.text());
-    if (attempt.exchange()->reusable())
+    // The results were released when the stream began.
+    const auto stages = make_stages();
+    standby.hold(stages);
+    attempt_pointer attempt;
+    if (co_await stages->execute())
     {
-        context_.connections.release(id, attempt.exchange()->connection(),
-                                     attempt.exchange()->metadata().keep_alive);
+        attempt = co_await send_elsewhere(standby, stages);
     }
-    else
+    if (!attempt)
     {
-        attempt.exchange()->abort();
+        stages->finish();
     }
+    co_return attempt;
 }
 
-text_request forward_run::backend_request(const backend_server& server) const
+asio::awaitable<forward_run::attempt_pointer>
+forward_run::send_elsewhere(standby_attempt& standby,
+                            std::shared_ptr<request_stages> stages)
 {
-    text_request result;
-    result.base() = request_.base();
-    remove_hop_by_hop_headers(result);
-    backend_metadata metadata;
-    metadata.server_id = server.id;
-    metadata.time_left = std::max(time_left(), milliseconds(1));
-    metadata.priority = accepted_.route->priority;
-    if (accepted_.customer != nullptr)
-    {
-        metadata.customer = accepted_.customer->name;
-        metadata.priority =
-            accepted_.customer->priority.value_or(accepted_.route->priority);
-    }
-    if (stages_)
+    if (standby.stopped() || !sender_->may_send_elsewhere() ||
+        !context_.state.retry_budget_of(accepted_.service)
+             .try_acquire(boot_clock::now()))
     {
-        for (const auto& input : stages_->results())
-        {
-            metadata.stage_results.push_back(input.handle);
-        }
+        co_return nullptr;
     }
-    if (stream_->begun())
+    const std::function<bool()> still_wanted = [&standby]
+    { return !standby.stopped(); };
+    auto attempt = co_await sender_->next(stages.get(), still_wanted);
+    if (!attempt)
     {
-        metadata.last_event = stream_->last_event();
+        co_return nullptr;
     }
-    context_.protocol.write_request(result, metadata);
-    result.version(11);
-    result.body() = request_.body();
-    result.prepare_payload();
-    return result;
+    standby.hold(attempt->exchange());
+    sender_->count(*attempt);
+    const auto remaining = time_left() + deadline_grace * 2;
+    attempt_limits no_limits{remaining, remaining, [] {}, [] {}};
+    co_await attempt->start(std::move(no_limits), stream_->begun());
+    if (attempt->has_answer() && !standby.stopped())
+    {
+        co_return attempt;
+    }
+    sender_->record(*attempt, standby.stopped());
+    co_return nullptr;
 }
 
-server_preferences forward_run::preferences() const
+asio::awaitable<forward_run::attempt_pointer>
+forward_run::take_standby(const forward_attempt& last)
 {
-    server_preferences result;
-    result.affinity =
-        accepted_.route->has_affinity ? accepted_.metadata.affinity : 0;
-    result.shared_tokens = accepted_.metadata.shared_tokens;
-    result.excluded = tried_servers_;
-    result.bytes = request_.body().size();
-    if (!stages_)
+    const auto standby = standby_;
+    if (!standby)
     {
-        return result;
+        co_return nullptr;
     }
-    for (const auto& input : stages_->results())
+    attempt_pointer attempt;
+    if (last.has_answer() || caller_gone_ || timed_out_)
     {
-        const auto result_server = context_.state.directory().find_address(
-            context_.protocol.result_server(input.handle));
-        if (result_server)
+        standby->stop();
+        attempt = standby->take();
+    }
+    else
+    {
+        attempt = co_await standby->result();
+    }
+    standby_.reset();
+    if (!attempt)
+    {
+        co_return nullptr;
+    }
+    if (last.has_answer() || caller_gone_ || timed_out_)
+    {
+        sender_->record(*attempt, true);
+        if (standby->stages())
         {
-            result.bytes_in_zone[result_server->zone] += input.bytes;
+            standby->stages()->finish();
         }
+        co_return nullptr;
     }
-    return result;
+    if (standby->stages())
+    {
+        stages_->finish();
+        stages_ = standby->stages();
+    }
+    co_return attempt;
 }
 
-attempt_limits forward_run::limits() const
+attempt_limits forward_run::limits()
 {
     const auto remaining = time_left();
-    attempt_limits result{remaining + deadline_grace * 2,
-                          remaining + deadline_grace * 2,
-                          [this] { return may_send_elsewhere(); }};
+    attempt_limits result{
+        remaining + deadline_grace * 2, remaining + deadline_grace * 2,
+        [this] { start_standby(); }, [this] { stop_standby(); }};
     if (accepted_.route->is_retryable())
     {
         const auto min_wait = accepted_.route->kind == route_kind::streaming
@@ -410,23 +428,6 @@
     return result;
 }
 
-bool forward_run::may_send_elsewhere() const
-{
-    const auto& servers = context_.state.directory().servers(accepted_.service);
-    const bool has_server = std::any_of(
-        servers.begin(), servers.end(),
-        [this](const auto& server)
-        {
-            return std::find(tried_servers_.begin(), tried_servers_.end(),
-                             server->id) == tried_servers_.end();
-        });
-    return has_server && accepted_.route->is_retryable() &&
-           sends_ < accepted_.route->max_attempts &&
-           time_left() > min_time_left &&
-           context_.state.retry_budget_of(accepted_.service)
-               .available(boot_clock::now());
-}
-
 milliseconds forward_run::time_left() const
 {
     return std::chrono::duration_cast<milliseconds>(accepted_.deadline -
@@ -495,7 +496,7 @@
     request_end summary;
     summary.status = status;
     summary.reason = std::move(reason);
-    summary.attempts = absl::StrJoin(attempt_log_, "; ");
+    summary.attempts = sender_ ? sender_->log_text() : "";
     summary.stages = stages_ ? std::optional(stages_->time()) : std::nullopt;
     summary.confirmed = context_.state.freshness().age(boot_clock::now());
     record_request_end(context_.metrics, accepted_, summary);
--- a/src/connection/forward_run.hpp
+++ b/src/connection/forward_run.hpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 #include "connection/accepted_request.hpp"
 #include "connection/asio_types.hpp"
+#include "connection/attempt_sender.hpp"
 #include "connection/forward_attempt.hpp"
 #include "connection/stream_forwarder.hpp"
 #include "request/attempt_policy.hpp"
@@ -16,9 +17,9 @@
 namespace mangolink
 {
 
-class backend_exchange;
 class response_writer;
 class request_stages;
+class standby_attempt;
 struct gateway_context;
 
 /// Handles one request of a caller up to its final answer.
@@ -46,17 +47,24 @@
     bool ended() const { return ended_; }
 
 private:
-    void prepare_stages();
+    using attempt_pointer = attempt_sender::attempt_pointer;
+
+    std::shared_ptr<request_stages> make_stages();
     asio::awaitable<bool> run_stages();
     asio::awaitable<void> send_until_answered();
     asio::awaitable<bool> perform_step(next_step step, forward_attempt* last);
-    asio::awaitable<std::unique_ptr<forward_attempt>> next_attempt();
     asio::awaitable<void> run_attempt(forward_attempt& attempt);
     next_step choose_next_step(const forward_attempt* last);
-    text_request backend_request(const backend_server& server) const;
-    server_preferences preferences() const;
-    attempt_limits limits() const;
-    bool may_send_elsewhere() const;
+
+    void start_standby();
+    void stop_standby();
+    asio::awaitable<attempt_pointer> send_standby(standby_attempt& standby);
+    asio::awaitable<attempt_pointer>
+    send_elsewhere(standby_attempt& standby,
+                   std::shared_ptr<request_stages> stages);
+    asio::awaitable<attempt_pointer> take_standby(const forward_attempt& last);
+
+    attempt_limits limits();
     milliseconds time_left() const;
     void stop_waiting();
 
@@ -74,13 +82,10 @@
     accepted_request accepted_;
     std::shared_ptr<request_stages> stages_;
     std::optional<stream_forwarder> stream_;
+    std::optional<attempt_sender> sender_;
 
-    std::shared_ptr<backend_exchange> exchange_; ///< in progress
-    std::vector<std::string> tried_servers_;     ///< by id
-    std::vector<std::string> attempt_log_;       ///< one entry per attempt
-    std::uint32_t sends_ = 0;
-    std::uint32_t unsent_ = 0;
-    bool may_have_run_ = false;
+    forward_attempt* current_ = nullptr;       ///< in progress
+    std::shared_ptr<standby_attempt> standby_; ///< while the server is silent
     bool inputs_gone_ = false;
     bool caller_gone_ = false;
     bool timed_out_ = false;
