Answer a request when the gateway's own code fails on it

Cause: an exception in a coroutine of the gateway ended it; asio::detached discarded it, and the connection went with its coroutine. Shown for a list of stage results beyond the 64 KB of a header field (Boost.Beast throws), and for an item key that is no text, on which nlohmann's dump throws within the call of a stage server: that server's queue then counted as busy for good, and all its items failed from then on.

--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -1,6 +1,7 @@
 #include "connection/forward_run.hpp"
 
 #include "connection/backend_exchange.hpp"
+#include "connection/failure_log.hpp"
 #include "connection/gateway_context.hpp"
 #include "connection/http_headers.hpp"
 #include "connection/request_check.hpp"
@@ -56,6 +57,39 @@
 asio::awaitable<void> forward_run::serve()
 {
     const auto self = shared_from_this();
+    std::exception_ptr failure;
+    try
+    {
+        co_await process();
+    }
+    catch (...) // logged and answered below
+    {
+        failure = std::current_exception();
+    }
+    if (!failure)
+    {
+        co_return;
+    }
+    failure_log("request")(failure);
+    current_ = nullptr; // destroyed by the exception
+    stop_waiting();
+    standby_.reset(); // refers to this object
+    if (ended_)
+    {
+        channel_.cut();
+    }
+    else if (stream_ && stream_->begun())
+    {
+        cut("internal failure");
+    }
+    else
+    {
+        co_await fail("internal failure");
+    }
+}
+
+asio::awaitable<void> forward_run::process()
+{
     request_check check(context_, request_, accepted_.arrival);
     auto details = check.run();
     accepted_ = check.result();
--- a/src/connection/forward_run.hpp
+++ b/src/connection/forward_run.hpp
@@ -37,7 +37,8 @@
     forward_run(const forward_run&) = delete;
     forward_run& operator=(const forward_run&) = delete;
 
-    /// Serves the request. Returns after the final answer was written.
+    /// Serves the request. Returns after the final answer was written, also if
+    /// an exception ended the work.
     asio::awaitable<void> serve();
 
     /// Cancels all work after the caller closed the connection.
@@ -49,6 +50,7 @@
 private:
     using attempt_pointer = attempt_sender::attempt_pointer;
 
+    asio::awaitable<void> process();
     std::shared_ptr<request_stages> make_stages();
     asio::awaitable<bool> run_stages();
     asio::awaitable<void> send_until_answered();
--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -246,7 +246,15 @@
 {
     const auto start_time = boot_clock::now();
     const auto limit = entry.queue.call_timeout(items.size());
-    call_result result = co_await exchange(server, items, limit);
+    call_result result;
+    try
+    {
+        result = co_await exchange(server, items, limit);
+    }
+    catch (...) // the call counts as lost, so that the server's queue goes on
+    {
+        failure_log("stage call")(std::current_exception());
+    }
     if (repeats_results(entry, result))
     {
         // A late copy of an earlier answer: the call's own one may follow it.
