Refuse a request on a connection beyond the limit instead of closing it

Cause: the accept limit knew only one means, to close.

Evidence: connections_beyond_the_limit_get_a_refusal; with the further share set to that of the limit, which is the old behaviour, it fails (no answer), and passes with it.

Why it works: connections up to 70 % of the descriptors are read, get 503 with Retry-After and Connection: close, and are closed; beyond that they are closed as before, with their line in the log.

The instance's table is now the last of a test gateway's settings, so that a test can add to it.

--- a/src/connection/caller_session.cpp
+++ b/src/connection/caller_session.cpp
@@ -56,8 +56,9 @@
 
 } // namespace
 
-caller_session::caller_session(gateway_context& context, tcp::socket socket)
-    : context_(context), socket_(std::move(socket))
+caller_session::caller_session(gateway_context& context, tcp::socket socket,
+                               bool refused)
+    : context_(context), socket_(std::move(socket)), refused_(refused)
 {
     ++context_.open_callers;
 }
@@ -79,6 +80,11 @@
         {
             break;
         }
+        if (refused_)
+        {
+            co_await refuse_connection();
+            break;
+        }
         keep_alive_ = request.keep_alive();
         chunked_ = request.get().version() >= 11;
         text_request message = request.release();
@@ -239,6 +245,14 @@
     co_await write_response(std::move(response));
 }
 
+asio::awaitable<void> caller_session::refuse_connection()
+{
+    keep_alive_ = false;
+    text_response response(http::status::service_unavailable, 11);
+    response.set(http::field::retry_after, "1");
+    co_await write_response(std::move(response));
+}
+
 asio::awaitable<bool> caller_session::serve(text_request request,
                                             boot_clock::time_point arrival)
 {
--- a/src/connection/caller_session.hpp
+++ b/src/connection/caller_session.hpp
@@ -21,7 +21,9 @@
                              public std::enable_shared_from_this<caller_session>
 {
 public:
-    caller_session(gateway_context& context, tcp::socket socket);
+    /// `refused`: the process has too many connections; the first request is
+    /// refused and the connection closed.
+    caller_session(gateway_context& context, tcp::socket socket, bool refused);
     ~caller_session() override;
 
     /// Serves the connection until it is closed.
@@ -39,6 +41,7 @@
     asio::awaitable<bool> wait_for_request();
     asio::awaitable<bool> read_request(parser& request);
     asio::awaitable<void> reject_unreadable(http::status status);
+    asio::awaitable<void> refuse_connection();
     asio::awaitable<bool> serve(text_request request,
                                 boot_clock::time_point arrival);
     asio::awaitable<void>
@@ -55,6 +58,7 @@
     gateway_context& context_;
     tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
+    bool refused_;
     bool keep_alive_ = true;
     bool chunked_ = true;
     bool closed_ = false;
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -44,8 +44,10 @@
 /// Requests that are still open this long before the stop limit are aborted.
 constexpr milliseconds stop_reserve{300};
 
-/// Share of the file descriptors that callers' connections may use.
+/// Share of the file descriptors that callers' connections may use, and the
+/// share up to which further ones get a refusal before they are closed.
 constexpr double caller_descriptor_share = 0.6;
+constexpr double refused_descriptor_share = 0.7;
 
 socket_address parse_address(const std::string& address)
 {
@@ -213,6 +215,8 @@
 {
     const auto max_open_callers = static_cast<std::size_t>(
         caller_descriptor_share * settings_.max_descriptors);
+    const auto max_refused_callers = static_cast<std::size_t>(
+        refused_descriptor_share * settings_.max_descriptors);
     while (true)
     {
         error_code error;
@@ -229,15 +233,19 @@
             co_await pause(io_, accept_retry_delay);
             continue;
         }
-        if (context_.open_callers >= max_open_callers)
+        const bool refused = context_.open_callers >= max_open_callers;
+        if (refused)
         {
             metrics_.counter("mangolink_callers_turned_away_total").add();
             log_warning("gateway", "Caller turned away.",
                         {{"open", std::to_string(context_.open_callers)}});
+        }
+        if (context_.open_callers >= max_refused_callers)
+        {
             continue;
         }
-        auto session =
-            std::make_shared<caller_session>(context_, std::move(socket));
+        auto session = std::make_shared<caller_session>(
+            context_, std::move(socket), refused);
         // The lambda owns the session until the coroutine has ended.
         asio::co_spawn(
             io_, [session] { return session->run(); },
--- a/tests/platform/forwarding_test.cpp
+++ b/tests/platform/forwarding_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(badly_framed_requests_reach_no_server);
     CPPUNIT_TEST(slow_and_large_callers_are_bounded);
     CPPUNIT_TEST(several_requests_in_one_packet);
+    CPPUNIT_TEST(connections_beyond_the_limit_get_a_refusal);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -237,6 +238,51 @@
         }
     }
 
+    void connections_beyond_the_limit_get_a_refusal()
+    {
+        test_cluster cluster;
+        cluster.add_backend("desk", "desk-1");
+        cluster.add_route("/orders/", "non_idempotent", "desk");
+        cluster.publish();
+        // Each share of the descriptors is a whole number.
+        auto& gateway = cluster.start_gateway("max_descriptors = 100\n");
+        std::vector<std::unique_ptr<test_caller>> idle;
+        for (int i = 0; i < 60; ++i)
+        {
+            idle.push_back(std::make_unique<test_caller>(gateway.callers()));
+        }
+        CPPUNIT_ASSERT(bench::wait_until(
+            [&]
+            {
+                return gateway.fetch_operator_page("/status").find(
+                           "\"open_callers\": 60") != std::string::npos;
+            }));
+        test_caller caller(gateway.callers());
+        const auto answer =
+            caller.send_request(cluster.request("/orders/x", "r"));
+        section("it promises that the request has not run",
+                [&]
+                {
+                    CPPUNIT_ASSERT(answer);
+                    CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+                    CPPUNIT_ASSERT(!(*answer)["Retry-After"].empty());
+                    CPPUNIT_ASSERT(!answer->keep_alive());
+                });
+        section("a caller that comes back later is served",
+                [&]
+                {
+                    idle.clear();
+                    CPPUNIT_ASSERT(bench::wait_until(
+                        [&]
+                        {
+                            test_caller next(gateway.callers());
+                            const auto again = next.send_request(
+                                cluster.request("/orders/x", "r2"));
+                            return again && again->result_int() == 200;
+                        }));
+                });
+    }
+
 private:
     static void expect(test_caller& caller, const text_request& request,
                        unsigned status)
--- a/tests/support/test_cluster.cpp
+++ b/tests/support/test_cluster.cpp
@@ -43,14 +43,15 @@
         list += (list.empty() ? "\"" : ", \"") + seed + "\"";
     }
     std::ofstream out(settings_path_);
-    out << "[instance]\nname = \"" << name << "\"\nzone = \"z1\"\n"
-        << "region = \"r1\"\n[gateway]\ncallers = \"" << callers().text()
-        << "\"\nreadiness = \"" << readiness().text() << "\"\noperators = \""
-        << operators().text() << "\"\npeers = \"" << peers() << "\"\nseeds = ["
-        << list << "]\nstop_limit_ms = 4000\n"
+    out << "[gateway]\ncallers = \"" << callers().text() << "\"\nreadiness = \""
+        << readiness().text() << "\"\noperators = \"" << operators().text()
+        << "\"\npeers = \"" << peers() << "\"\nseeds = [" << list
+        << "]\nstop_limit_ms = 4000\n"
         << "[platform]\nstore = \"" << store << "\"\nzones = [\"z1=r1\"]\n"
         << "[keys]\nrevocation_limit_ms = 3000\n"
         << "[retries]\nratio = 0.2\nslack = 400\n"
+        << "[instance]\nname = \"" << name << "\"\nzone = \"z1\"\n"
+        << "region = \"r1\"\n"
         << extra_settings;
     out.close();
     start();
--- a/tests/support/test_cluster.hpp
+++ b/tests/support/test_cluster.hpp
@@ -87,8 +87,8 @@
     void add_stage_pool(const std::string& service);
 
     /// Starts a gateway and waits until it is ready. `extra_settings` is
-    /// appended to its settings. `store` is the address of its store, by
-    /// default that of the first.
+    /// appended to its settings, whose last table is that of the instance.
+    /// `store` is the address of its store, by default that of the first.
     gateway_process& start_gateway(const std::string& extra_settings = {},
                                    const std::string& store = {});
 
