Let servers fall silent in the soak

Silence of 0.7 to 2.5 s in the middle of a stream, before its first event or before an answer, beside all other faults.

--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -35,6 +35,7 @@
         {"fail a server", &soak_faults::fail_server},
         {"fail a server", &soak_faults::fail_server},
         {"break a stream", &soak_faults::break_stream},
+        {"silence a server", &soak_faults::silence_server},
         {"deregister a server", &soak_faults::deregister_server},
         {"fail a stage server", &soak_faults::fail_stage_server},
         {"rotate the key", &soak_faults::rotate_key}};
@@ -79,6 +80,8 @@
     {
         server->clear_faults();
         server->break_next_stream_after(0);
+        server->silence_next_stream(0, {});
+        server->set_delay({});
     }
 }
 
@@ -255,6 +258,21 @@
     engine->break_next_stream_after(1 + static_cast<unsigned>(random_below(6)));
 }
 
+void soak_faults::silence_server()
+{
+    const auto time = milliseconds(700 + random_below(1800));
+    auto* server = cluster_.servers()[random_below(cluster_.servers().size())];
+    if (random_below(2) == 0)
+    {
+        server->silence_next_stream(static_cast<unsigned>(random_below(6)),
+                                    time);
+        return;
+    }
+    server->set_delay(time);
+    end_after(milliseconds(300), milliseconds(1500),
+              [server] { server->set_delay({}); });
+}
+
 void soak_faults::deregister_server()
 {
     const auto& id =
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -58,6 +58,7 @@
     void drop_history();
     void fail_server();
     void break_stream();
+    void silence_server();
     void deregister_server();
     void fail_stage_server();
     void rotate_key();
