--- a/src/connection/attempt_sender.cpp
+++ b/src/connection/attempt_sender.cpp
@@ -43,7 +43,8 @@
 attempt_sender::next(const request_stages* stages, std::function<bool()> wanted)
 {
     auto& state = context_.state;
-    while (unsent_ < max_connect_failures && time_left() > min_time_left &&
+    std::uint32_t unsent = 0;
+    while (unsent < max_connect_failures && time_left() > min_time_left &&
            wanted())
     {
         auto server = state.balancer().choose(
@@ -71,15 +72,18 @@
         {
             auto exchange = std::make_shared<backend_exchange>(
                 lease.connection, context_.protocol,
-                backend_request(*server, stages), accepted_.metadata.id);
+                checked_request(*server, stages), accepted_.metadata.id);
             co_return std::make_unique<forward_attempt>(context_.io, server,
                                                         std::move(exchange));
         }
-        ++unsent_;
+        ++unsent;
         tried_servers_.push_back(server->id);
         log_.push_back(server->id + " unreachable");
-        state.balancer().send_ended(server->id, send_outcome::failed, {},
-                                    boot_clock::now());
+        // A limit of this process says nothing about the server.
+        const auto outcome = lease.error == asio::error::no_buffer_space
+                                 ? send_outcome::cancelled
+                                 : send_outcome::failed;
+        state.balancer().send_ended(server->id, outcome, {}, boot_clock::now());
     }
     co_return nullptr;
 }
@@ -138,6 +142,21 @@
     return absl::StrJoin(log_, "; ");
 }
 
+text_request attempt_sender::checked_request(const backend_server& server,
+                                             const request_stages* stages)
+{
+    try
+    {
+        return backend_request(server, stages);
+    }
+    catch (...)
+    {
+        context_.state.balancer().send_ended(server.id, send_outcome::cancelled,
+                                             {}, boot_clock::now());
+        throw;
+    }
+}
+
 text_request attempt_sender::backend_request(const backend_server& server,
                                              const request_stages* stages) const
 {
--- a/src/connection/attempt_sender.hpp
+++ b/src/connection/attempt_sender.hpp
@@ -61,6 +61,9 @@
     std::string log_text() const;
 
 private:
+    /// Like backend_request(); ends the send at the balancer if that throws.
+    text_request checked_request(const backend_server& server,
+                                 const request_stages* stages);
     text_request backend_request(const backend_server& server,
                                  const request_stages* stages) const;
     milliseconds time_left() const;
@@ -72,7 +75,6 @@
     std::vector<std::string> tried_servers_; ///< by id
     std::vector<std::string> log_;           ///< one entry per attempt
     std::uint32_t sends_ = 0;
-    std::uint32_t unsent_ = 0;
     bool may_have_run_ = false;
 };
 
--- a/src/connection/forward_attempt.cpp
+++ b/src/connection/forward_attempt.cpp
@@ -155,6 +155,25 @@
     end_ = sound ? attempt_outcome::answered : attempt_outcome::broken;
 }
 
+asio::awaitable<void> forward_attempt::read_first_event(attempt_limits limits)
+{
+    const scoped_timeout guard(io_, limits.between_events, limits.on_silence);
+    while (streams_ && !exchange_->complete())
+    {
+        const auto known = pending_.size();
+        if (!co_await exchange_->read_some(pending_) ||
+            pending_.size() > max_event_bytes)
+        {
+            streams_ = false;
+            end_ = attempt_outcome::broken;
+        }
+        else if (has_complete_event(pending_, known))
+        {
+            break;
+        }
+    }
+}
+
 asio::awaitable<void>
 forward_attempt::forward_events(attempt_limits limits, stream_forwarder& stream,
                                 std::function<void()> on_first_event)
@@ -163,54 +182,57 @@
     end_ = attempt_outcome::broken;
     const bool resumed = stream.begun();
     bool first = true;
-    std::string pending;
+    bool open = true;
+    std::size_t known = 0;
     auto last_event = boot_clock::now();
-    while (!exchange_->complete())
+    while (true)
     {
-        bool open = false;
-        const auto known = pending.size();
-        {
-            const auto since_event = std::chrono::duration_cast<milliseconds>(
-                boot_clock::now() - last_event);
-            const scoped_timeout guard(
-                io_,
-                std::max(limits.between_events - since_event, milliseconds(0)),
-                limits.on_silence);
-            open = co_await exchange_->read_some(pending);
-        }
-        silence_ = std::max(silence_, std::chrono::duration_cast<milliseconds>(
-                                          boot_clock::now() - last_event));
-        const auto received = pending.size();
-        if (first && !pending.empty())
+        if (first && !pending_.empty())
         {
             first = false;
             on_first_event();
         }
-        if (open && pending.size() <= max_event_bytes &&
-            !has_complete_event(pending, known))
+        const auto received = pending_.size();
+        if (!open || received > max_event_bytes ||
+            has_complete_event(pending_, known))
         {
-            continue;
+            if (open)
+            {
+                limits.on_progress();
+            }
+            const auto forwarded =
+                co_await stream.forward(exchange_->head(), pending_, resumed);
+            caller_gone_ = forwarded == forward_result::caller_gone;
+            if (forwarded != forward_result::forwarded || !open ||
+                pending_.size() > max_event_bytes)
+            {
+                co_return;
+            }
         }
-        if (open)
+        if (pending_.size() < received)
         {
-            limits.on_progress();
+            last_event = boot_clock::now();
         }
-        const auto forwarded =
-            co_await stream.forward(exchange_->head(), pending, resumed);
-        caller_gone_ = forwarded == forward_result::caller_gone;
-        if (forwarded != forward_result::forwarded || !open ||
-            pending.size() > max_event_bytes)
+        if (exchange_->complete())
         {
-            co_return;
+            break;
         }
-        if (pending.size() < received)
+        known = pending_.size();
+        const auto since_event = std::chrono::duration_cast<milliseconds>(
+            boot_clock::now() - last_event);
         {
-            last_event = boot_clock::now();
+            const scoped_timeout guard(
+                io_,
+                std::max(limits.between_events - since_event, milliseconds(0)),
+                limits.on_silence);
+            open = co_await exchange_->read_some(pending_);
         }
+        silence_ = std::max(silence_, std::chrono::duration_cast<milliseconds>(
+                                          boot_clock::now() - last_event));
     }
     // A stream that ends inside an event is incomplete.
     end_ =
-        pending.empty() ? attempt_outcome::answered : attempt_outcome::broken;
+        pending_.empty() ? attempt_outcome::answered : attempt_outcome::broken;
 }
 
 bool forward_attempt::is_stream() const
--- a/src/connection/forward_attempt.hpp
+++ b/src/connection/forward_attempt.hpp
@@ -40,6 +40,9 @@
     /// a part of the answer, which only a stream can continue.
     asio::awaitable<void> start(attempt_limits limits, bool answer_begun);
 
+    /// Reads a stream up to its first complete event.
+    asio::awaitable<void> read_first_event(attempt_limits limits);
+
     /// Forwards the events of the stream as they arrive; `on_first_event` is
     /// called before the first one.
     asio::awaitable<void> forward_events(attempt_limits limits,
@@ -97,6 +100,7 @@
     std::shared_ptr<backend_exchange> exchange_;
     attempt_outcome end_ = attempt_outcome::unsent;
     std::string body_;
+    std::string pending_; ///< received events that are not forwarded yet
     milliseconds first_byte_{0};
     milliseconds silence_{0}; ///< longest time between two events
     bool streams_ = false;
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -338,10 +338,15 @@
 
 void forward_run::stop_standby()
 {
-    // One that is ready has already ended the current attempt.
-    if (standby_ && !standby_->ready())
+    if (!standby_)
+    {
+        return;
+    }
+    standby_->stop();
+    // One that is ready has already ended the current attempt, but continues
+    // the answer at an earlier point. take_standby() discards it.
+    if (!standby_->ready())
     {
-        standby_->stop();
         standby_.reset();
     }
 }
@@ -349,6 +354,10 @@
 asio::awaitable<forward_run::attempt_pointer>
 forward_run::send_standby(standby_attempt& standby)
 {
+    if (!sender_->may_send_elsewhere())
+    {
+        co_return nullptr;
+    }
     if (!stages_ || !stream_->begun())
     {
         co_return co_await send_elsewhere(standby, stages_);
@@ -387,13 +396,23 @@
     }
     standby.hold(attempt->exchange());
     sender_->count(*attempt);
-    const auto remaining = time_left() + deadline_grace * 2;
-    attempt_limits no_limits{remaining, remaining, [] {}, [] {}};
-    co_await attempt->start(std::move(no_limits), stream_->begun());
+    attempt_limits own_limits = limits();
+    own_limits.on_silence = [this, current = attempt.get()]
+    {
+        if (sender_->may_send_elsewhere())
+        {
+            current->give_up();
+        }
+    };
+    own_limits.on_progress = [] {};
+    co_await attempt->start(own_limits, stream_->begun());
+    co_await attempt->read_first_event(own_limits);
     if (attempt->has_answer() && !standby.stopped())
     {
         co_return attempt;
     }
+    // Its connection may be in use by another request from now on.
+    standby.hold(std::shared_ptr<backend_exchange>());
     sender_->record(*attempt, standby.stopped());
     co_return nullptr;
 }
@@ -421,7 +440,7 @@
     {
         co_return nullptr;
     }
-    if (last.has_answer() || caller_gone_ || timed_out_)
+    if (last.has_answer() || standby->stopped())
     {
         sender_->record(*attempt, true);
         if (standby->stages())
--- a/tests/platform/silence_test.cpp
+++ b/tests/platform/silence_test.cpp
@@ -21,6 +21,10 @@
     CPPUNIT_TEST(a_stream_is_not_cut_when_its_stages_are_refused);
     CPPUNIT_TEST(a_late_answer_is_delivered_when_the_alternative_refuses);
     CPPUNIT_TEST(a_server_that_stays_silent_is_replaced);
+    CPPUNIT_TEST(a_refused_standby_leaves_its_connection_to_others);
+    CPPUNIT_TEST(stages_are_not_repeated_when_nothing_can_be_sent);
+    CPPUNIT_TEST(a_silent_standby_is_replaced);
+    CPPUNIT_TEST(a_stream_is_not_cut_when_the_standby_breaks_after_its_head);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -74,16 +78,11 @@
         std::thread during_silence(
             [&]
             {
-                bench::wait_until(
-                    [&]
-                    { return one.run_count("r") + two.run_count("r") > 0; });
+                bench::wait_until([&] { return runs(one, two) > 0; });
                 stage.fail_next(1000, "late");
             });
         test_caller caller(gateway.callers());
-        auto request = cluster.request("/talk/x", "r");
-        request.set("X-Chunk-Count", "2");
-        request.set("X-Chunk-Key", "key-r");
-        const auto answer = caller.send_request(request);
+        const auto answer = caller.send_request(staged(cluster));
         during_silence.join();
         section("the stages were asked for again",
                 [&] { CPPUNIT_ASSERT(stage.received().size() > 2); });
@@ -105,9 +104,7 @@
         std::thread during_silence(
             [&]
             {
-                bench::wait_until(
-                    [&]
-                    { return one.run_count("r") + two.run_count("r") > 0; });
+                bench::wait_until([&] { return runs(one, two) > 0; });
                 for (auto* desk : {&one, &two})
                 {
                     desk->set_delay({});
@@ -138,9 +135,7 @@
         std::thread during_silence(
             [&]
             {
-                bench::wait_until(
-                    [&]
-                    { return one.run_count("r") + two.run_count("r") > 0; });
+                bench::wait_until([&] { return runs(one, two) > 0; });
                 one.silence_next_stream(0, {});
                 two.silence_next_stream(0, {});
             });
@@ -158,6 +153,143 @@
                 });
     }
 
+    void a_refused_standby_leaves_its_connection_to_others()
+    {
+        test_cluster cluster;
+        auto& silent = cluster.add_backend("desk", "desk-1");
+        cluster.add_route("/status/", "idempotent", "desk");
+        cluster.add_route("/orders/", "non_idempotent", "orders");
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        silent.set_delay(silence);
+        std::optional<text_response> order;
+        backend_standin* other = nullptr;
+        std::thread during_silence(
+            [&]
+            {
+                bench::wait_until([&] { return silent.run_count("r") > 0; });
+                // Serves both routes under one id and one connection pool.
+                other = &cluster.add_backend("desk", "desk-2");
+                other->add_faults({backend_fault::shed});
+                bench::wait_until([&] { return !other->received().empty(); });
+                other->set_delay(milliseconds(1500));
+                cluster.set_service("desk-2", "orders");
+                test_caller second(gateway.callers());
+                bench::wait_until(
+                    [&]
+                    {
+                        order = second.send_request(
+                            cluster.request("/orders/x", "o"));
+                        return !order || order->result_int() != 503;
+                    });
+            });
+        test_caller caller(gateway.callers());
+        const auto answer =
+            caller.send_request(cluster.request("/status/x", "r"));
+        during_silence.join();
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+        section("a request of another caller on it is answered",
+                [&]
+                {
+                    CPPUNIT_ASSERT(order);
+                    CPPUNIT_ASSERT_EQUAL(200U, order->result_int());
+                });
+    }
+
+    void stages_are_not_repeated_when_nothing_can_be_sent()
+    {
+        test_cluster cluster;
+        auto& one = cluster.add_backend("engine", "engine-1");
+        auto& two = cluster.add_backend("engine", "engine-2");
+        auto& stage =
+            cluster.add_stage_server("encode", "encode-1", milliseconds(20));
+        add_stage(cluster, add_streaming_route(cluster));
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        for (auto* engine : {&one, &two})
+        {
+            engine->set_stream(4, milliseconds(1));
+            engine->silence_next_stream(2, milliseconds(3300));
+        }
+        std::thread during_silence(
+            [&]
+            {
+                bench::wait_until([&] { return runs(one, two) > 0; });
+                auto& other = one.run_count("r") > 0 ? two : one;
+                other.add_faults({backend_fault::shed});
+            });
+        test_caller caller(gateway.callers());
+        const auto answer = caller.send_request(staged(cluster));
+        during_silence.join();
+        assert_events(answer, 4);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2 * 2), stage.received().size());
+    }
+
+    void a_silent_standby_is_replaced()
+    {
+        test_cluster cluster;
+        std::vector<backend_standin*> engines;
+        for (const char* id : {"engine-1", "engine-2", "engine-3"})
+        {
+            engines.push_back(&cluster.add_backend("engine", id));
+        }
+        add_streaming_route(cluster)["maxAttempts"] = 3;
+        cluster.configuration()["routes"][0]["timeoutMs"] = 9000;
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        for (auto* engine : engines)
+        {
+            engine->set_stream(4, milliseconds(1));
+            engine->add_faults({backend_fault::hang});
+        }
+        std::thread during_silence(
+            [&]
+            {
+                bench::wait_until(
+                    [&]
+                    {
+                        return engines[0]->run_count("r") +
+                                   engines[1]->run_count("r") +
+                                   engines[2]->run_count("r") ==
+                               2;
+                    });
+                for (auto* engine : engines)
+                {
+                    engine->clear_faults();
+                }
+            });
+        test_caller caller(gateway.callers());
+        const auto answer = caller.send_request(
+            cluster.request("/talk/x", "r", milliseconds(9000)));
+        during_silence.join();
+        assert_events(answer, 4);
+    }
+
+    void a_stream_is_not_cut_when_the_standby_breaks_after_its_head()
+    {
+        test_cluster cluster;
+        auto& engine = cluster.add_backend("engine", "engine-1");
+        add_streaming_route(cluster);
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        engine.set_stream(4, milliseconds(1));
+        engine.silence_next_stream(2, silence);
+        std::thread during_silence(
+            [&]
+            {
+                bench::wait_until([&] { return engine.run_count("r") > 0; });
+                auto& other = cluster.add_backend("engine", "engine-2");
+                other.set_stream(4, milliseconds(1));
+                other.break_next_stream_after_head();
+            });
+        test_caller caller(gateway.callers());
+        const auto answer =
+            caller.send_request(cluster.request("/talk/x", "r"));
+        during_silence.join();
+        assert_events(answer, 4);
+    }
+
 private:
     using json = nlohmann::json;
 
@@ -169,6 +301,29 @@
         return route;
     }
 
+    static void add_stage(test_cluster& cluster, json& route)
+    {
+        route["phases"] = {{{"service", "encode"},
+                            {"after", json::array()},
+                            {"length", 1000}}};
+        route["targetLatencyMs"] = 2000;
+        cluster.add_stage_pool("encode");
+    }
+
+    static text_request staged(test_cluster& cluster)
+    {
+        auto request = cluster.request("/talk/x", "r");
+        request.set("X-Chunk-Count", "2");
+        request.set("X-Chunk-Key", "key-r");
+        return request;
+    }
+
+    static std::size_t runs(const backend_standin& one,
+                            const backend_standin& two)
+    {
+        return one.run_count("r") + two.run_count("r");
+    }
+
     static void assert_events(const std::optional<text_response>& answer,
                               unsigned last)
     {
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -220,6 +220,12 @@
         last.empty() ? 1 : static_cast<unsigned>(std::stoul(last)) + 1;
     scripted_answer script;
     script.parts.push_back({stream_head(id), {}});
+    if (break_after_head_.exchange(false))
+    {
+        script.parts.push_back({"", milliseconds(300)});
+        script.end = answer_end::closed;
+        return script;
+    }
     const unsigned stop_after = break_after_.exchange(0);
     const auto silence = std::exchange(silence_, milliseconds(0));
     for (unsigned number = first; number <= stream_events_; ++number)
--- a/tests/standins/backend_standin.hpp
+++ b/tests/standins/backend_standin.hpp
@@ -76,6 +76,9 @@
     /// Makes the next stream break off after some events.
     void break_next_stream_after(unsigned events) { break_after_ = events; }
 
+    /// Makes the next stream break off 300 ms after its head.
+    void break_next_stream_after_head() { break_after_head_ = true; }
+
     /// Makes the next stream fall silent for a time after some events.
     void silence_next_stream(unsigned after_events, milliseconds time);
 
@@ -110,6 +113,7 @@
     unsigned stream_events_ = 0;
     milliseconds stream_pause_{0};
     std::atomic<unsigned> break_after_{0};
+    std::atomic<bool> break_after_head_{false};
     unsigned silent_after_ = 0;
     milliseconds silence_{0};
     std::atomic<std::int64_t> delay_ms_{0};
--- a/tests/support/test_cluster.cpp
+++ b/tests/support/test_cluster.cpp
@@ -168,6 +168,13 @@
     register_server(id, "ready");
 }
 
+void test_cluster::set_service(const std::string& id,
+                               const std::string& service)
+{
+    registrations_[id].service = service;
+    register_server(id, "ready");
+}
+
 void test_cluster::unregister_server(const std::string& id)
 {
     store_.remove("servers/" + id);
--- a/tests/support/test_cluster.hpp
+++ b/tests/support/test_cluster.hpp
@@ -95,6 +95,9 @@
     /// Registers a server under another address, such as that of a proxy.
     void set_address(const std::string& id, const std::string& address);
 
+    /// Registers a server as one of another service.
+    void set_service(const std::string& id, const std::string& service);
+
     /// Returns the folder with the settings and logs of the gateways.
     const std::string& folder() const { return folder_; }
 
