Give the stages of a resumed stream a due time of their own

Cause: the stages of a resumed stream kept the due time of the first answer, which has passed by then. A queue with a full batch of items in time drops overdue ones of stages that others follow, so a busy pool dropped exactly these, and one dropped item ends the request.

Evidence: a_resumed_stream_is_not_cut_behind_full_batches failed on (no complete answer) and passes; stages_test 7 of 7.

Why it works: the caller of a begun stream waits for the next event, so its stages are due one latency objective from now, before the request's deadline.

--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -153,9 +153,12 @@
     parameters.request_id = accepted_.metadata.id;
     parameters.item_key = accepted_.metadata.item_key;
     parameters.deadline = accepted_.deadline;
+    // The caller of a begun stream waits for its next event, not for an answer.
+    const auto wanted_since =
+        stream_->begun() ? boot_clock::now() : accepted_.arrival;
     parameters.due =
         std::min(accepted_.deadline,
-                 accepted_.arrival + accepted_.route->latency_objective) -
+                 wanted_since + accepted_.route->latency_objective) -
         expected_first_event_time;
     parameters.preferred_zone = engine ? engine->zone : "";
     parameters.preference = direct_balancer::affinity_gain(wanted);
@@ -264,7 +267,8 @@
         }
         // Results are lost, or were released when the stream began.
         inputs_gone_ = false;
-        stages_->restart();
+        stages_->finish();
+        stages_ = make_stages();
         co_return co_await run_stages();
     }
     co_return false;
--- a/tests/platform/stages_test.cpp
+++ b/tests/platform/stages_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(items_of_many_requests_share_calls);
     CPPUNIT_TEST(failed_items_are_retried);
     CPPUNIT_TEST(a_full_server_is_queried_for_memory);
+    CPPUNIT_TEST(a_resumed_stream_is_not_cut_behind_full_batches);
     CPPUNIT_TEST(a_process_that_dies_is_replaced);
     CPPUNIT_TEST(a_paused_process_is_replaced);
     CPPUNIT_TEST_SUITE_END();
@@ -194,6 +195,54 @@
                 });
     }
 
+    void a_resumed_stream_is_not_cut_behind_full_batches()
+    {
+        test_cluster cluster;
+        auto& engine = prepare(cluster);
+        engine.set_stream(4, milliseconds(1100));
+        engine.break_next_stream_after(2);
+        auto& route = cluster.configuration()["routes"][0];
+        route["streamResume"] = true;
+        route["timeoutMs"] = 12'000;
+        cluster.publish();
+        auto& next = cluster.add_backend("engine", "engine-9");
+        next.set_stream(4, milliseconds(1100));
+        next.break_next_stream_after(2);
+        cluster.add_stage_server("encode", "encode-1", milliseconds(200));
+        cluster.add_stage_server("rerank", "rerank-1", milliseconds(20));
+        auto& gateway = cluster.start_gateway();
+        std::vector<std::thread> others;
+        std::thread load(
+            [&]
+            {
+                // The stream breaks off about 2.5 s after its request came.
+                std::this_thread::sleep_for(milliseconds(2350));
+                for (int i = 0; i < 5; ++i)
+                {
+                    others.emplace_back(
+                        [&, i]
+                        {
+                            test_caller caller(gateway.callers());
+                            caller.send_request(staged(
+                                cluster, "o" + std::to_string(i), "16,1"));
+                        });
+                }
+            });
+        test_caller caller(gateway.callers());
+        auto request = staged(cluster, "r", "2,2");
+        request.set("X-Deadline-Ms", "12000");
+        const auto answer = caller.send_request(request);
+        load.join();
+        for (auto& other : others)
+        {
+            other.join();
+        }
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(event_text(1) + event_text(2) + event_text(3) +
+                                 event_text(4),
+                             answer->body());
+    }
+
     void a_process_that_dies_is_replaced()
     {
         replace_with([](bench::child_process& process)
