Keep a caller's connection as long as was announced to it

Three ways: a stream whose head said keep-alive before a stop was followed by a close; an idle limit that a configuration raised did not hold for connections that waited already, so they closed while their callers could still use them; a process that stopped closed connections in the same moment in which it began to refuse.

Why it works: what the head of an answer announced decides on the connection, not the state after it; the idle limit is looked up again when it expires, and bytes that have arrived by then are a request, not an end; a stopping process reads and refuses for 300 ms before it may end. A wait for a caller's leave that wakes up without cause waits again. Connections that will be refused have an idle limit of 2 s.

--- a/src/connection/caller_session.cpp
+++ b/src/connection/caller_session.cpp
@@ -23,6 +23,9 @@
 /// Timeout of a write; a caller that does not read is disconnected.
 constexpr milliseconds write_timeout{5000};
 
+/// Idle limit of a connection whose first request will be refused.
+constexpr milliseconds refused_idle_limit{2000};
+
 /// How long the rest of a rejected request is read and discarded, so that
 /// closing does not reset the connection before the caller has read the
 /// response.
@@ -99,7 +102,8 @@
 asio::awaitable<bool> caller_session::write_response(text_response response)
 {
     response.version(11);
-    response.keep_alive(keeps_open());
+    announced_keep_alive_ = keeps_open();
+    response.keep_alive(announced_keep_alive_);
     response.prepare_payload();
     error_code error;
     const scoped_timeout timeout(context_.io, write_timeout,
@@ -113,7 +117,8 @@
     http::response<http::empty_body> response(std::move(head));
     response.version(11);
     keep_alive_ = keep_alive_ && chunked_;
-    response.keep_alive(keeps_open());
+    announced_keep_alive_ = keeps_open();
+    response.keep_alive(announced_keep_alive_);
     response.chunked(chunked_);
     http::response_serializer<http::empty_body> serializer(response);
     error_code error;
@@ -175,20 +180,37 @@
     {
         co_return true;
     }
-    error_code error;
-    const scoped_timeout timeout(
-        context_.io, context_.limits().idle_timeout,
-        [this]
+    const auto start_time = boot_clock::now();
+    while (true)
+    {
+        // A new configuration may have changed the limit during the wait.
+        const auto limit =
+            refused_ ? refused_idle_limit : context_.limits().idle_timeout;
+        const auto left = std::chrono::duration_cast<milliseconds>(
+            start_time + limit - boot_clock::now());
+        if (left <= milliseconds(0) &&
+            peek_socket(socket_) != socket_read_state::bytes)
         {
-            if (peek_socket(socket_) == socket_read_state::bytes)
-            {
-                log_end("Bytes discarded at the end of a connection.",
-                        "idle limit");
-            }
             close();
-        });
-    co_await socket_.async_wait(tcp::socket::wait_read, redirect_to(error));
-    co_return !error && !closed_;
+            co_return false;
+        }
+        error_code error;
+        {
+            const scoped_timeout timeout(
+                context_.io, std::max(left, milliseconds(0)),
+                [this]
+                {
+                    error_code ignored; // the wait below ends
+                    socket_.cancel(ignored);
+                });
+            co_await socket_.async_wait(tcp::socket::wait_read,
+                                        redirect_to(error));
+        }
+        if (error != asio::error::operation_aborted)
+        {
+            co_return !error && !closed_;
+        }
+    }
 }
 
 asio::awaitable<bool> caller_session::read_request(parser& request)
@@ -266,20 +288,25 @@
     co_await run->serve();
     error_code ignored; // ends watch_for_disconnect(), the only pending wait
     socket_.cancel(ignored);
-    co_return keeps_open();
+    co_return announced_keep_alive_ && !closed_;
 }
 
 asio::awaitable<void>
 caller_session::watch_for_disconnect(std::shared_ptr<forward_run> run)
 {
-    error_code error;
-    co_await socket_.async_wait(tcp::socket::wait_read, redirect_to(error));
-    if (error || run->ended())
+    auto state = socket_read_state::nothing;
+    while (state == socket_read_state::nothing)
     {
-        co_return;
+        error_code error;
+        co_await socket_.async_wait(tcp::socket::wait_read, redirect_to(error));
+        if (error || run->ended())
+        {
+            co_return;
+        }
+        state = peek_socket(socket_);
     }
     // Readable data is the caller's next request, which is read later.
-    if (peer_has_closed(socket_))
+    if (state == socket_read_state::closed)
     {
         run->caller_left();
     }
--- a/src/connection/caller_session.hpp
+++ b/src/connection/caller_session.hpp
@@ -60,6 +60,7 @@
     boost::beast::flat_buffer buffer_;
     bool refused_;
     bool keep_alive_ = true;
+    bool announced_keep_alive_ = false; ///< by the current response
     bool chunked_ = true;
     bool closed_ = false;
     bool read_timed_out_ = false;
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -41,6 +41,10 @@
 /// after two failures. Connections that it opens before that are still served.
 constexpr milliseconds balancer_removal_delay{2600};
 
+/// How long requests that are on their way when the process stops to accept any
+/// are still read and refused.
+constexpr milliseconds rejection_time{300};
+
 /// Requests that are still open this long before the stop limit are aborted.
 constexpr milliseconds stop_reserve{300};
 
@@ -217,12 +221,12 @@
         caller_descriptor_share * settings_.max_descriptors);
     const auto max_refused_callers = static_cast<std::size_t>(
         refused_descriptor_share * settings_.max_descriptors);
-    while (true)
+    while (acceptor->is_open())
     {
         error_code error;
         tcp::socket socket(io_);
         co_await acceptor->async_accept(socket, redirect_to(error));
-        if (!acceptor->is_open())
+        if (error && !acceptor->is_open())
         {
             co_return;
         }
@@ -393,7 +397,8 @@
     {
         heartbeats_->send_to_all();
     }
-    const auto earliest_end = start_time + balancer_removal_delay;
+    const auto rejection_start = start_time + balancer_removal_delay;
+    const auto earliest_end = rejection_start + rejection_time;
     const auto latest_end = start_time + settings_.stop_limit - stop_reserve;
     auto now = start_time;
     while (now < latest_end &&
@@ -401,7 +406,7 @@
     {
         co_await pause(io_, periodic_interval / 5);
         now = boot_clock::now();
-        if (now >= earliest_end && !context_.rejecting_requests)
+        if (now >= rejection_start && !context_.rejecting_requests)
         {
             // A request that starts now could not end before the limit.
             context_.rejecting_requests = true;
--- a/tests/platform/forwarding_test.cpp
+++ b/tests/platform/forwarding_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(badly_framed_requests_reach_no_server);
     CPPUNIT_TEST(slow_and_large_callers_are_bounded);
     CPPUNIT_TEST(several_requests_in_one_packet);
+    CPPUNIT_TEST(a_raised_idle_limit_holds_for_open_connections);
     CPPUNIT_TEST(connections_beyond_the_limit_get_a_refusal);
     CPPUNIT_TEST_SUITE_END();
 
@@ -238,6 +239,32 @@
         }
     }
 
+    void a_raised_idle_limit_holds_for_open_connections()
+    {
+        test_cluster cluster;
+        cluster.add_backend("desk", "desk-1");
+        cluster.add_route("/orders/", "non_idempotent", "desk");
+        auto& limit = cluster.configuration()["limits"]["idleTimeoutMs"];
+        limit = 1000;
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        test_caller caller(gateway.callers());
+        CPPUNIT_ASSERT(caller.send_request(cluster.request("/orders/x", "r1")));
+        limit = 5000;
+        cluster.publish();
+        section("a request after the old limit is served",
+                [&]
+                {
+                    CPPUNIT_ASSERT(!caller.closes_within(milliseconds(1500)));
+                    const auto answer =
+                        caller.send_request(cluster.request("/orders/x", "r2"));
+                    CPPUNIT_ASSERT(answer);
+                    CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+                });
+        section("an idle connection is closed after the new limit", [&]
+                { CPPUNIT_ASSERT(caller.closes_within(milliseconds(6000))); });
+    }
+
     void connections_beyond_the_limit_get_a_refusal()
     {
         test_cluster cluster;
--- a/tests/platform/stop_test.cpp
+++ b/tests/platform/stop_test.cpp
@@ -12,6 +12,7 @@
 {
     CPPUNIT_TEST_SUITE(stop_test);
     CPPUNIT_TEST(a_stop_cuts_no_request);
+    CPPUNIT_TEST(a_connection_kept_open_across_a_stop_is_answered);
     CPPUNIT_TEST(late_requests_are_refused_not_cut_off);
     CPPUNIT_TEST(reload_keeps_serving);
     CPPUNIT_TEST(all_killed_at_once_serve_again);
@@ -68,6 +69,42 @@
                 });
     }
 
+    void a_connection_kept_open_across_a_stop_is_answered()
+    {
+        test_cluster cluster;
+        auto& engine = cluster.add_backend("engine", "engine-1");
+        engine.set_stream(4, milliseconds(200));
+        cluster.add_route("/talk/", "streaming", "engine");
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        std::thread during_stream(
+            [&]
+            {
+                bench::wait_until([&] { return engine.run_count("r1") == 1; });
+                std::this_thread::sleep_for(milliseconds(300));
+                gateway.process().signal(SIGTERM);
+            });
+        test_caller caller(gateway.callers());
+        const auto stream =
+            caller.send_request(cluster.request("/talk/x", "r1"));
+        during_stream.join();
+        section("the stream began before the stop, with a promise to go on",
+                [&]
+                {
+                    CPPUNIT_ASSERT(stream);
+                    CPPUNIT_ASSERT(stream->keep_alive());
+                });
+        section("the next request on the connection is answered",
+                [&]
+                {
+                    const auto next =
+                        caller.send_request(cluster.request("/talk/x", "r2"));
+                    CPPUNIT_ASSERT(next);
+                    CPPUNIT_ASSERT_EQUAL(200U, next->result_int());
+                    CPPUNIT_ASSERT(!next->keep_alive());
+                });
+    }
+
     void late_requests_are_refused_not_cut_off()
     {
         test_cluster cluster;
