Send nothing new to a server that states in an answer that it leaves

What callers saw: requests, stage items, releases and memory queries went on to a server whose answers said that it was leaving, until its entry said so too: for as long as the store was away, and for good at servers that publish nothing.

Cause: the header was not read.

Why it works: every answer of a backend server passes backend_exchange, which reports its head before the body is read. The directory marks the id and start as leaving, whatever entries follow; the change goes the way of a published one (log, idle connections, balancer, router, stage queues). A connection that is free again after its server left is closed instead of kept. Calls of peers have no listener.

Answers of stand-ins can carry a header line; test_cluster can register another start of a server.

--- a/src/connection/attempt_sender.cpp
+++ b/src/connection/attempt_sender.cpp
@@ -70,7 +70,7 @@
         if (lease.connection && state.directory().find(server->id))
         {
             auto exchange = std::make_shared<backend_exchange>(
-                lease.connection, context_.protocol,
+                server, lease.connection, context_.protocol, context_.listener,
                 backend_request(*server, stages), accepted_.metadata.id);
             co_return std::make_unique<forward_attempt>(context_.io, server,
                                                         std::move(exchange));
@@ -105,7 +105,10 @@
                                          attempt.first_byte(),
                                          boot_clock::now());
     log_.push_back(attempt.text());
-    if (attempt.exchange()->reusable())
+    // A server that left meanwhile needs its connections no more.
+    const auto known = context_.state.directory().find(id);
+    if (attempt.exchange()->reusable() && known &&
+        known->started_ms == attempt.server()->started_ms)
     {
         context_.connections.release(id, attempt.exchange()->connection(),
                                      attempt.exchange()->metadata().keep_alive);
--- a/src/connection/backend_caller.cpp
+++ b/src/connection/backend_caller.cpp
@@ -21,8 +21,10 @@
 
 backend_caller::backend_caller(asio::io_context& io,
                                const forward_protocol& protocol,
-                               backend_pool& connections)
-    : io_(io), protocol_(protocol), connections_(connections)
+                               backend_pool& connections,
+                               answer_listener listener)
+    : io_(io), protocol_(protocol), connections_(connections),
+      listener_(std::move(listener))
 {
 }
 
@@ -37,7 +39,8 @@
         co_return std::nullopt;
     }
     auto current = std::make_shared<backend_exchange>(
-        lease.connection, protocol_, std::move(request), std::string());
+        to, lease.connection, protocol_, listener_, std::move(request),
+        std::string());
     if (running != nullptr)
     {
         *running = current;
--- a/src/connection/backend_caller.hpp
+++ b/src/connection/backend_caller.hpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.hpp"
 #include "connection/asio_types.hpp"
+#include "connection/backend_exchange.hpp"
 
 #include <memory>
 #include <optional>
@@ -10,7 +11,6 @@
 namespace mangolink
 {
 
-class backend_exchange;
 class backend_pool;
 class forward_protocol;
 struct backend_server;
@@ -20,8 +20,9 @@
 class backend_caller final
 {
 public:
+    /// `listener` gets the answers of backend servers; null for peers.
     backend_caller(asio::io_context& io, const forward_protocol& protocol,
-                   backend_pool& connections);
+                   backend_pool& connections, answer_listener listener);
 
     /// Makes a call and returns the complete answer, or nothing on failure. If
     /// `running` is not null, it refers to the exchange while that is running.
@@ -37,6 +38,7 @@
     asio::io_context& io_;
     const forward_protocol& protocol_;
     backend_pool& connections_;
+    answer_listener listener_;
 };
 
 } // namespace mangolink
--- a/src/connection/backend_exchange.cpp
+++ b/src/connection/backend_exchange.cpp
@@ -20,10 +20,12 @@
 } // namespace
 
 backend_exchange::backend_exchange(
+    std::shared_ptr<const backend_server> server,
     std::shared_ptr<backend_connection> connection,
-    const forward_protocol& protocol, text_request request,
-    std::string expected_id)
-    : connection_(std::move(connection)), protocol_(protocol),
+    const forward_protocol& protocol, answer_listener listener,
+    text_request request, std::string expected_id)
+    : server_(std::move(server)), connection_(std::move(connection)),
+      protocol_(protocol), listener_(std::move(listener)),
       request_(std::move(request)), expected_id_(std::move(expected_id)),
       serializer_(request_)
 {
@@ -86,7 +88,7 @@
 bool backend_exchange::reusable() const
 {
     return !failed_ && written_ && complete() && parser_->keep_alive() &&
-           connection_->buffer().size() == 0;
+           connection_->buffer().size() == 0 && !metadata_.server_leaving;
 }
 
 const http::response_header<>& backend_exchange::head() const
@@ -127,6 +129,10 @@
         co_return false;
     }
     metadata_ = protocol_.read_answer(parser_->get().base());
+    if (listener_)
+    {
+        listener_(*server_, metadata_);
+    }
     co_return true;
 }
 
--- a/src/connection/backend_exchange.hpp
+++ b/src/connection/backend_exchange.hpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -13,6 +14,12 @@
 {
 
 class backend_connection;
+struct backend_server;
+
+/// Called with the head of every answer of a backend server, also of one that
+/// is skipped, before its body is read.
+using answer_listener =
+    std::function<void(const backend_server&, const answer_metadata&)>;
 
 /// One request and its answer on a connection to a backend server.
 ///
@@ -23,10 +30,13 @@
     : public std::enable_shared_from_this<backend_exchange>
 {
 public:
-    /// `expected_id`: request id that the answer must have; empty: any.
-    backend_exchange(std::shared_ptr<backend_connection> connection,
-                     const forward_protocol& protocol, text_request request,
-                     std::string expected_id);
+    /// `server`: at the other end of the connection. `listener`: may be null,
+    /// as for peers. `expected_id`: request id that the answer must have;
+    /// empty: any.
+    backend_exchange(std::shared_ptr<const backend_server> server,
+                     std::shared_ptr<backend_connection> connection,
+                     const forward_protocol& protocol, answer_listener listener,
+                     text_request request, std::string expected_id);
 
     /// Sends the request and reads the head of the answer. Returns false if the
     /// connection fails first.
@@ -63,8 +73,10 @@
     asio::awaitable<bool> read_head();
     asio::awaitable<bool> skip_body();
 
+    std::shared_ptr<const backend_server> server_;
     std::shared_ptr<backend_connection> connection_;
     const forward_protocol& protocol_;
+    answer_listener listener_;
     text_request request_;
     std::string expected_id_;
     http::request_serializer<http::string_body> serializer_;
--- a/src/connection/forward_protocol.hpp
+++ b/src/connection/forward_protocol.hpp
@@ -55,6 +55,7 @@
     bool proven_not_run = false;
     bool signed_by_server = false;
     bool body_is_encoded = false; ///< encoded by an intermediary
+    bool server_leaving = false;
     std::optional<server_load> load;
     std::optional<milliseconds> keep_alive;
 };
--- a/src/connection/gateway_context.hpp
+++ b/src/connection/gateway_context.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection/asio_types.hpp"
+#include "connection/backend_exchange.hpp"
 #include "version/gateway_configuration.hpp"
 
 #include <cstddef>
@@ -26,6 +27,7 @@
     gateway_state& state;
     backend_pool& connections;
     stage_dispatcher& stages;
+    answer_listener listener; ///< of the answers of backend servers
     bool stopping = false;
     bool rejecting_requests = false; ///< stopping; new requests are rejected
     std::size_t open_callers = 0;
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -93,13 +93,16 @@
           { return connection_limit(server); },
           metrics_),
       peers_({describe_self(settings_), settings_.own_region_zones()}),
+      listener_(
+          [this](const backend_server& server, const answer_metadata& metadata)
+          { on_answer(server, metadata); }),
       stages_(io_, settings_, protocol_, state_, peers_, connections_,
-              metrics_),
+              listener_, metrics_),
       updater_(
           state_, [this] { topology_changed(); },
           [this](const std::string& id) { remove_server(id); }),
       context_{io_,    settings_,    protocol_, metrics_,
-               state_, connections_, stages_},
+               state_, connections_, stages_,   listener_},
       reader_activation_(io_),
       updates_(io_, state_, updater_, reader_activation_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
@@ -149,7 +152,7 @@
         metrics_);
     update_follower_ = std::make_unique<update_follower>(
         io_, state_, updater_, peers_, reader_activation_,
-        backend_caller(io_, protocol_, connections_), metrics_);
+        backend_caller(io_, protocol_, connections_, nullptr), metrics_);
 }
 
 bool gateway_server::run()
@@ -187,6 +190,15 @@
     stages_.forget(server);
 }
 
+void gateway_server::on_answer(const backend_server& server,
+                               const answer_metadata& metadata)
+{
+    if (metadata.server_leaving)
+    {
+        updater_.server_leaves(server);
+    }
+}
+
 void gateway_server::topology_changed()
 {
     stages_.topology_changed();
--- a/src/connection/gateway_server.hpp
+++ b/src/connection/gateway_server.hpp
@@ -59,6 +59,8 @@
 
     std::size_t connection_limit(const backend_server& server);
     void remove_server(const std::string& server);
+    void on_answer(const backend_server& server,
+                   const answer_metadata& metadata);
     void topology_changed();
     void accept_callers();
     void close_caller_acceptor();
@@ -86,6 +88,7 @@
     gateway_state state_;
     backend_pool connections_;
     peer_directory peers_;
+    answer_listener listener_;
     stage_dispatcher stages_;
     gateway_state_updater updater_;
     gateway_context context_;
--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -30,12 +30,14 @@
                                    const forward_protocol& protocol,
                                    gateway_state& state, peer_directory& peers,
                                    backend_pool& connections,
+                                   answer_listener listener,
                                    metrics_registry& metrics)
     : io_(io), protocol_(protocol), state_(state), peers_(peers),
       metrics_(metrics),
       router_({settings.name, settings.zone, settings.own_region_zones()}),
-      calls_(io, protocol, connections),
-      caller_(io, protocol, state, router_, calls_, metrics,
+      calls_(io, protocol, connections, nullptr),
+      server_calls_(io, protocol, connections, std::move(listener)),
+      caller_(io, protocol, state, router_, server_calls_, metrics,
               [this](const std::vector<std::string>& handles)
               { release(handles); })
 {
--- a/src/connection/stage_dispatcher.hpp
+++ b/src/connection/stage_dispatcher.hpp
@@ -38,7 +38,7 @@
     stage_dispatcher(asio::io_context& io, const gateway_settings& settings,
                      const forward_protocol& protocol, gateway_state& state,
                      peer_directory& peers, backend_pool& connections,
-                     metrics_registry& metrics);
+                     answer_listener listener, metrics_registry& metrics);
     ~stage_dispatcher();
 
     stage_dispatcher(const stage_dispatcher&) = delete;
@@ -104,7 +104,8 @@
     peer_directory& peers_;
     metrics_registry& metrics_;
     stage_router router_;
-    backend_caller calls_;
+    backend_caller calls_; ///< of peers
+    backend_caller server_calls_;
     stage_caller caller_;
     std::vector<std::shared_ptr<open_task>> open_tasks_;
     std::vector<std::string> to_release_;
--- a/src/process/backend_directory.cpp
+++ b/src/process/backend_directory.cpp
@@ -6,6 +6,13 @@
 
 namespace mangolink
 {
+namespace
+{
+
+/// Bounds the memory of a fleet that replaces its servers for months.
+constexpr std::size_t max_remembered = 10'000;
+
+} // namespace
 
 backend_directory::backend_directory(milliseconds suspicion_timeout,
                                      placement place)
@@ -21,6 +28,9 @@
     {
         return directory_change::outdated;
     }
+    const auto marked = marked_leaving_.find(id);
+    server.leaving = server.leaving || (marked != marked_leaving_.end() &&
+                                        marked->second == server.started_ms);
     auto change = directory_change::joined;
     const auto found = servers_.find(id);
     if (found != servers_.end())
@@ -53,6 +63,27 @@
     return change;
 }
 
+directory_change backend_directory::mark_leaving(const backend_server& server)
+{
+    if (marked_leaving_.size() >= max_remembered)
+    {
+        marked_leaving_.clear();
+    }
+    std::uint64_t& marked = marked_leaving_[server.id];
+    marked = std::max(marked, server.started_ms);
+    const auto found = servers_.find(server.id);
+    if (found == servers_.end() || found->second.server->leaving ||
+        found->second.server->started_ms != server.started_ms)
+    {
+        return directory_change::none;
+    }
+    auto leaving = std::make_shared<backend_server>(*found->second.server);
+    leaving->leaving = true;
+    found->second.server = std::move(leaving);
+    mark_changed();
+    return directory_change::leaving;
+}
+
 directory_change backend_directory::remove(std::string_view id,
                                            bool store_disrupted,
                                            boot_clock::time_point now)
@@ -155,9 +186,7 @@
 
 void backend_directory::erase(const std::string& id)
 {
-    // Bounds the memory of a fleet that replaces its servers for months.
-    constexpr std::size_t max_removed = 10'000;
-    if (removed_.size() >= max_removed)
+    if (removed_.size() >= max_remembered)
     {
         removed_.clear();
     }
--- a/src/process/backend_directory.hpp
+++ b/src/process/backend_directory.hpp
@@ -48,6 +48,10 @@
     /// id is ignored, also if the server was removed since.
     directory_change put(backend_server server);
 
+    /// Marks this start of a server as leaving, whatever its entries say from
+    /// now on. Returns `none` if nothing changes, as for an unknown server.
+    directory_change mark_leaving(const backend_server& server);
+
     /// Removes a server, or marks it as suspected if `store_disrupted`: the
     /// store was unavailable shortly before.
     directory_change remove(std::string_view id, bool store_disrupted,
@@ -102,6 +106,8 @@
     mutable server_groups groups_;
     absl::flat_hash_map<std::string, server_pointer>
         removed_; ///< last known entries
+    /// Starts of the servers that were marked as leaving.
+    absl::flat_hash_map<std::string, std::uint64_t> marked_leaving_;
     std::uint64_t version_ = 0;
 };
 
--- a/src/roles/gateway_state_updater.cpp
+++ b/src/roles/gateway_state_updater.cpp
@@ -123,7 +123,7 @@
     {
         return;
     }
-    log_change(entry, change);
+    log_change(entry, change, "published");
     on_changed_();
 }
 
@@ -146,6 +146,16 @@
     }
 }
 
+void gateway_state_updater::server_leaves(const backend_server& server)
+{
+    const auto change = state_.directory().mark_leaving(server);
+    if (change != directory_change::none)
+    {
+        log_change(server, change, "stated in an answer");
+        on_changed_();
+    }
+}
+
 void gateway_state_updater::report_invalid_value(std::string_view key,
                                                  std::string_view reason)
 {
@@ -207,7 +217,8 @@
 }
 
 void gateway_state_updater::log_change(const backend_server& server,
-                                       directory_change change)
+                                       directory_change change,
+                                       std::string_view source)
 {
     static constexpr const char* names[] = {
         "unchanged", "outdated report ignored",
@@ -216,6 +227,7 @@
         "removed"};
     log_notice("directory", names[static_cast<std::size_t>(change)],
                {{"server", server.id},
+                {"source", std::string(source)},
                 {"service", server.service},
                 {"address", server.address.text()},
                 {"zone", server.zone},
--- a/src/roles/gateway_state_updater.hpp
+++ b/src/roles/gateway_state_updater.hpp
@@ -67,6 +67,9 @@
     void put(backend_server server);
     void remove_server(const std::string& id, boot_clock::time_point now);
 
+    /// Records that this start of a server stated in an answer that it leaves.
+    void server_leaves(const backend_server& server);
+
     /// Logs a published value that cannot be parsed.
     void report_invalid_value(std::string_view key, std::string_view reason);
 
@@ -81,7 +84,8 @@
 
 private:
     bool store_disrupted(boot_clock::time_point now) const;
-    void log_change(const backend_server& server, directory_change change);
+    void log_change(const backend_server& server, directory_change change,
+                    std::string_view source);
     void report_removed(const std::string& id, std::string_view cause);
 
     gateway_state& state_;
--- a/tests/platform/stage_caller_test.cpp
+++ b/tests/platform/stage_caller_test.cpp
@@ -23,7 +23,8 @@
     explicit caller_of_one_server(const socket_address& address)
         : connections_(
               io_, [](const backend_server&) { return 4; }, metrics_),
-          calls_(io_, protocol_, connections_), state_(gateway_settings()),
+          calls_(io_, protocol_, connections_, nullptr),
+          state_(gateway_settings()),
           router_({"gateway-1", "zone-a", {"zone-a"}}),
           caller_(io_, protocol_, state_, router_, calls_, metrics_,
                   [](const std::vector<std::string>&) {})
--- a/tests/platform/stage_dispatcher_test.cpp
+++ b/tests/platform/stage_dispatcher_test.cpp
@@ -53,7 +53,7 @@
                        socket_address{"127.0.0.1", 2}, false},
                   {}}),
           dispatcher_(io_, settings_, protocol_, state_, peers_, connections_,
-                      metrics_)
+                      nullptr, metrics_)
     {
     }
 
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -19,6 +19,7 @@
 {
     CPPUNIT_TEST_SUITE(translation_test);
     CPPUNIT_TEST(headers_are_read);
+    CPPUNIT_TEST(leaving_servers_are_recognized);
     CPPUNIT_TEST(prompts_with_a_shared_prefix_have_the_same_affinity);
     CPPUNIT_TEST(stage_answers_are_read);
     CPPUNIT_TEST(corrupted_input_is_handled);
@@ -48,6 +49,21 @@
         }
     }
 
+    void leaving_servers_are_recognized()
+    {
+        const auto read = [this](unsigned status, const char* value)
+        {
+            http::response_header<> answer;
+            answer.result(status);
+            answer.set("Server-Leaving", value);
+            return protocol_.read_answer(answer).server_leaving;
+        };
+        CPPUNIT_ASSERT(read(200, "1"));
+        CPPUNIT_ASSERT(read(503, "1"));
+        CPPUNIT_ASSERT(!read(200, "0"));
+        CPPUNIT_ASSERT(!read(421, "1"));
+    }
+
     void prompts_with_a_shared_prefix_have_the_same_affinity()
     {
         const auto read = [this](const char* parts)
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -60,6 +60,12 @@
     silence_ = time;
 }
 
+void backend_standin::set_notice(const std::string& header)
+{
+    const std::lock_guard lock(mutex_);
+    notice_ = header;
+}
+
 std::vector<received_request> backend_standin::received() const
 {
     const std::lock_guard lock(mutex_);
@@ -151,8 +157,10 @@
     case backend_fault::none:
         break;
     case backend_fault::shed:
-        return scripted_answer::of(
-            503, "", {"X-Not-Executed: 1", "X-Attempt-Id: " + id});
+        std::erase_if(headers, [](const std::string& header)
+                      { return header.starts_with("X-Response-Seal"); });
+        headers.emplace_back("X-Not-Executed: 1");
+        return scripted_answer::of(503, "", headers);
     case backend_fault::failure:
         return scripted_answer::of(500, "failed", headers);
     case backend_fault::unproven_refusal:
@@ -253,8 +261,14 @@
 std::vector<std::string>
 backend_standin::answer_headers(const std::string& request) const
 {
-    return {"X-Attempt-Id: " + request, "X-Response-Seal: seal-" + id_,
-            "X-Instance-Id: " + id_};
+    std::vector<std::string> headers{"X-Attempt-Id: " + request,
+                                     "X-Response-Seal: seal-" + id_,
+                                     "X-Instance-Id: " + id_};
+    if (!notice_.empty())
+    {
+        headers.push_back(notice_);
+    }
+    return headers;
 }
 
 backend_fault backend_standin::next_fault()
--- a/tests/standins/backend_standin.hpp
+++ b/tests/standins/backend_standin.hpp
@@ -79,6 +79,9 @@
     /// Makes the next stream fall silent for a time after some events.
     void silence_next_stream(unsigned after_events, milliseconds time);
 
+    /// Adds a header line to all answers; empty: none.
+    void set_notice(const std::string& header);
+
     /// Adds a pause before each answer.
     void set_delay(milliseconds delay) { delay_ms_ = delay.count(); }
 
@@ -112,6 +115,7 @@
     std::atomic<unsigned> break_after_{0};
     unsigned silent_after_ = 0;
     milliseconds silence_{0};
+    std::string notice_;
     std::atomic<std::int64_t> delay_ms_{0};
     std::unique_ptr<batching_engine> engine_;
     standin_server server_; ///< last, as its thread uses the other members
--- a/tests/standins/stage_server_standin.cpp
+++ b/tests/standins/stage_server_standin.cpp
@@ -23,6 +23,12 @@
     fail_reason_ = reason;
 }
 
+void stage_server_standin::set_notice(const std::string& header)
+{
+    const std::lock_guard lock(mutex_);
+    notice_ = header;
+}
+
 std::vector<received_item> stage_server_standin::received() const
 {
     const std::lock_guard lock(mutex_);
@@ -44,6 +50,7 @@
 void stage_server_standin::handle(const text_request& request,
                                   const standin_server::reply& reply)
 {
+    ++arrivals_;
     if (request["X-Expect-Instance"] != id_)
     {
         reply(scripted_answer::of(421, "", {"X-Instance-Id: " + id_}));
@@ -57,21 +64,22 @@
         {
             stored_results_.erase(handle.get<std::string>());
         }
-        reply(scripted_answer::of(200, ""));
+        reply(answer(200, ""));
         return;
     }
     if (request.target() == "/v1/report")
     {
+        const std::lock_guard lock(mutex_);
         const json report{
             {"waiting", 0}, {"busy", false}, {"availableMb", full_ ? 0 : 10}};
-        reply(scripted_answer::of(200, report.dump(),
-                                  {"Content-Type: application/json"}));
+        reply(answer(200, report.dump()));
         return;
     }
     if (calls_to_shed_ > 0)
     {
         --calls_to_shed_;
-        reply(scripted_answer::of(503, "", {"X-Not-Executed: 1"}));
+        const std::lock_guard lock(mutex_);
+        reply(answer(503, ""));
         return;
     }
     if (calls_to_hang_ > 0)
@@ -117,8 +125,22 @@
         stored_results_.insert(handle);
         results.push_back({{"handle", handle}});
     }
-    return scripted_answer::of(200, json{{"entries", results}}.dump(),
-                               {"Content-Type: application/json"});
+    return answer(200, json{{"entries", results}}.dump());
+}
+
+scripted_answer stage_server_standin::answer(int status,
+                                             const std::string& body) const
+{
+    std::vector<std::string> headers{"Content-Type: application/json"};
+    if (status == 503)
+    {
+        headers.emplace_back("X-Not-Executed: 1");
+    }
+    if (!notice_.empty())
+    {
+        headers.push_back(notice_);
+    }
+    return scripted_answer::of(status, body, headers);
 }
 
 } // namespace mangolink::test
--- a/tests/standins/stage_server_standin.hpp
+++ b/tests/standins/stage_server_standin.hpp
@@ -39,6 +39,12 @@
     /// Makes every item fail for lack of memory, and reports no free memory.
     void set_full(bool full) { full_ = full; }
 
+    /// Adds a header line to all answers; empty: none.
+    void set_notice(const std::string& header);
+
+    /// Returns the number of requests of any kind that arrived.
+    std::size_t arrivals() const { return arrivals_; }
+
     std::vector<received_item> received() const;
 
     /// Returns the number of items in each call, in order.
@@ -55,6 +61,7 @@
     void handle(const text_request& request,
                 const standin_server::reply& reply);
     scripted_answer process_call(const std::string& body);
+    scripted_answer answer(int status, const std::string& body) const;
 
     std::string id_;
     milliseconds call_time_;
@@ -66,6 +73,8 @@
     std::atomic<unsigned> calls_to_shed_{0};
     std::atomic<unsigned> calls_to_hang_{0};
     std::atomic<bool> full_{false};
+    std::atomic<std::size_t> arrivals_{0};
+    std::string notice_;
     unsigned items_to_fail_ = 0;
     std::string fail_reason_;
     standin_server server_; ///< last, as its thread uses the other members
--- a/tests/support/test_cluster.cpp
+++ b/tests/support/test_cluster.cpp
@@ -129,7 +129,7 @@
                                            const std::string& id)
 {
     backends_.push_back(std::make_unique<backend_standin>(id));
-    registrations_[id] = {service, backends_.back()->address(), 0};
+    registrations_[id] = {service, backends_.back()->address()};
     register_server(id, "ready");
     return *backends_.back();
 }
@@ -140,7 +140,7 @@
 {
     stage_servers_.push_back(
         std::make_unique<stage_server_standin>(id, call_time));
-    registrations_[id] = {service, stage_servers_.back()->address(), 0};
+    registrations_[id] = {service, stage_servers_.back()->address()};
     register_server(id, "ready");
     return *stage_servers_.back();
 }
@@ -156,7 +156,7 @@
                      {"slots", 8},
                      {"state", state},
                      {"coldRemainingMs", 0},
-                     {"born", 1'000'000},
+                     {"born", server_entry.started_ms},
                      {"sequence", ++server_entry.sequence}};
     put("servers/" + id, value.dump());
 }
@@ -168,6 +168,12 @@
     register_server(id, "ready");
 }
 
+void test_cluster::restart_server(const std::string& id)
+{
+    ++registrations_[id].started_ms;
+    register_server(id, "ready");
+}
+
 void test_cluster::unregister_server(const std::string& id)
 {
     store_.remove("servers/" + id);
--- a/tests/support/test_cluster.hpp
+++ b/tests/support/test_cluster.hpp
@@ -73,6 +73,9 @@
     void register_server(const std::string& id, const std::string& state);
     void unregister_server(const std::string& id);
 
+    /// Registers another start of a server under its id.
+    void restart_server(const std::string& id);
+
     /// Returns the configuration for changes; publish() writes it to the store
     /// under a new version.
     nlohmann::json& configuration() { return configuration_; }
@@ -116,6 +119,7 @@
         std::string service;
         std::string address;
         unsigned sequence = 0;
+        std::uint64_t started_ms = 1'000'000;
     };
 
     void put(const std::string& key, const std::string& value);
--- a/tests/unit/backend_directory_test.cpp
+++ b/tests/unit/backend_directory_test.cpp
@@ -28,6 +28,7 @@
 {
     CPPUNIT_TEST_SUITE(backend_directory_test);
     CPPUNIT_TEST(leaving_servers_are_not_used);
+    CPPUNIT_TEST(a_mark_outlasts_the_entries_of_its_start);
     CPPUNIT_TEST(late_reports_change_nothing);
     CPPUNIT_TEST(a_server_may_return_under_its_id);
     CPPUNIT_TEST(expired_entries_may_return);
@@ -49,6 +50,53 @@
         CPPUNIT_ASSERT(!directory_.find_address("127.0.0.1:9000"));
     }
 
+    void a_mark_outlasts_the_entries_of_its_start()
+    {
+        section(
+            "a known server",
+            [&]
+            {
+                directory_.put(make_entry("s1", 5, 1));
+                CPPUNIT_ASSERT(directory_change::leaving ==
+                               directory_.mark_leaving(make_entry("s1", 5, 1)));
+                CPPUNIT_ASSERT(directory_change::none ==
+                               directory_.mark_leaving(make_entry("s1", 5, 1)));
+                directory_.put(make_entry("s1", 5, 2));
+                CPPUNIT_ASSERT_EQUAL(std::size_t(0), usable());
+            });
+        section("an entry that was removed and is back",
+                [&]
+                {
+                    directory_.remove("s1", false, now_);
+                    directory_.put(make_entry("s1", 5, 3));
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(0), usable());
+                });
+        section("another start",
+                [&]
+                {
+                    CPPUNIT_ASSERT(directory_change::restarted ==
+                                   directory_.put(make_entry("s1", 6, 1)));
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(1), usable());
+                });
+        section("a late answer of the start before",
+                [&]
+                {
+                    CPPUNIT_ASSERT(
+                        directory_change::none ==
+                        directory_.mark_leaving(make_entry("s1", 5, 1)));
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(1), usable());
+                });
+        section("a server without an entry",
+                [&]
+                {
+                    CPPUNIT_ASSERT(
+                        directory_change::none ==
+                        directory_.mark_leaving(make_entry("s2", 5, 1)));
+                    directory_.put(make_entry("s2", 5, 2));
+                    CPPUNIT_ASSERT(!directory_.find("s2"));
+                });
+    }
+
     void a_list_of_thousands_is_applied_at_once()
     {
         constexpr std::size_t count = 5000;
