Hold a server back for the time that it names in a refusal

What callers saw: a server that refused with 503 and a time to wait got the next request at once, since a refusal ejects nobody; stage servers got theirs after 150 ms. Each arrival was a refusal more, and an attempt of a caller less.

Cause: the time was not read.

Why it works: the hold is kept by id and start, apart from the balancer's records, so that neither an ejection nor the removal of an entry ends it. Held servers are excluded from every choice of the balancer and from standby attempts, also when a hold arrives while a connection is opened. If all are held, requests are refused before they are sent, with the end of the first hold. The owner of a stage server makes no call, release or memory query during a hold, and its load reports say that the server is ejected as long, which moves the items of other gateways to another server. Times that are not positive numbers are ignored; those above 5 minutes are taken as 5 minutes.

--- a/src/connection/attempt_sender.cpp
+++ b/src/connection/attempt_sender.cpp
@@ -66,6 +66,14 @@
             }
             co_return nullptr;
         }
+        if (lease.connection &&
+            state.holds().is_held(*server, boot_clock::now()))
+        {
+            state.balancer().send_ended(server->id, send_outcome::cancelled, {},
+                                        boot_clock::now());
+            context_.connections.release(server->id, lease.connection, {});
+            continue;
+        }
         // The server may have been removed while the connection was opened.
         if (lease.connection && state.directory().find(server->id))
         {
@@ -122,12 +130,14 @@
 bool attempt_sender::may_send_elsewhere() const
 {
     const auto& servers = context_.state.directory().servers(accepted_.service);
+    const auto now = boot_clock::now();
     const bool has_server = std::any_of(
         servers.begin(), servers.end(),
-        [this](const auto& server)
+        [this, now](const auto& server)
         {
             return std::find(tried_servers_.begin(), tried_servers_.end(),
-                             server->id) == tried_servers_.end();
+                             server->id) == tried_servers_.end() &&
+                   !context_.state.holds().is_held(*server, now);
         });
     return has_server && accepted_.route->is_retryable() &&
            sends_ < accepted_.route->max_attempts &&
@@ -183,6 +193,15 @@
         accepted_.route->has_affinity ? accepted_.metadata.affinity : 0;
     result.shared_tokens = accepted_.metadata.shared_tokens;
     result.excluded = tried_servers_;
+    const auto now = boot_clock::now();
+    for (const auto& server :
+         context_.state.directory().servers(accepted_.service))
+    {
+        if (context_.state.holds().is_held(*server, now))
+        {
+            result.excluded.push_back(server->id);
+        }
+    }
     result.bytes = request_.body().size();
     if (stages == nullptr)
     {
--- a/src/connection/attempt_sender.hpp
+++ b/src/connection/attempt_sender.hpp
@@ -49,6 +49,7 @@
     /// Returns whether the request can be sent to a server that was not tried.
     bool may_send_elsewhere() const;
 
+    /// Excludes the servers that were tried or are held.
     server_preferences preferences(const request_stages* stages) const;
 
     /// Returns the number of attempts written to a connection.
--- a/src/connection/forward_protocol.hpp
+++ b/src/connection/forward_protocol.hpp
@@ -56,6 +56,8 @@
     bool signed_by_server = false;
     bool body_is_encoded = false; ///< encoded by an intermediary
     bool server_leaving = false;
+    /// Time in which the server wants no further requests.
+    std::optional<milliseconds> hold;
     std::optional<server_load> load;
     std::optional<milliseconds> keep_alive;
 };
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -244,6 +244,10 @@
         refusal details{http::status::service_unavailable, "no server",
                         retry_soon};
         details.reason = last != nullptr ? "server refused" : details.reason;
+        const auto hold = context_.state.holds().remaining_of_all(
+            context_.state.directory().servers(accepted_.service),
+            boot_clock::now());
+        details.retry_delay = std::max(retry_soon, hold.value_or(retry_soon));
         co_await refuse(std::move(details));
         break;
     }
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -197,6 +197,14 @@
     {
         updater_.server_leaves(server);
     }
+    if (metadata.hold &&
+        state_.holds().hold(server, *metadata.hold, boot_clock::now()))
+    {
+        log_notice("directory", "Server held back at its request.",
+                   {{"server", server.id},
+                    {"service", server.service},
+                    {"ms", std::to_string(metadata.hold->count())}});
+    }
 }
 
 void gateway_server::topology_changed()
--- a/src/connection/request_check.cpp
+++ b/src/connection/request_check.cpp
@@ -141,11 +141,19 @@
         return refusal{http::status::service_unavailable, "no time left",
                        retry_soon};
     }
-    if (context_.state.directory().servers(result_.service).empty())
+    const auto& servers = context_.state.directory().servers(result_.service);
+    if (servers.empty())
     {
         return refusal{http::status::service_unavailable, "no server",
                        retry_soon};
     }
+    const auto hold =
+        context_.state.holds().remaining_of_all(servers, boot_clock::now());
+    if (hold)
+    {
+        return refusal{http::status::service_unavailable, "servers held",
+                       std::max(*hold, retry_soon)};
+    }
     return check_stage_time();
 }
 
--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -25,6 +25,9 @@
 /// includes releases in flight.
 constexpr milliseconds memory_query_delay{100};
 
+/// A hold may end early, with another start of the server.
+constexpr milliseconds hold_check_interval{100};
+
 } // namespace
 
 stage_caller::stage_caller(asio::io_context& io,
@@ -81,12 +84,11 @@
 std::vector<named_load_report> stage_caller::load_reports()
 {
     std::vector<named_load_report> result;
-    const auto now = boot_clock::now();
     for (auto& [id, entry] : entries_)
     {
         if (entry->server)
         {
-            result.push_back({entry->server, entry->queue.load_report(now)});
+            result.push_back({entry->server, load_report_of(*entry)});
         }
     }
     return result;
@@ -169,7 +171,7 @@
 std::vector<waiting_item> stage_caller::take_next_call(server_entry& entry)
 {
     const auto now = boot_clock::now();
-    const auto load_report = entry.queue.load_report(now);
+    const auto load_report = load_report_of(entry);
     if (!entry.server || (load_report.ejected_for > milliseconds(0) &&
                           has_alternative(*entry.server)))
     {
@@ -186,15 +188,40 @@
         entry.queue.configure(*pool_parameters);
     }
     return_items(entry.queue.remove_expired(now), stage_item_outcome::late);
-    auto items = entry.queue.begin_call(now);
+    std::vector<waiting_item> items;
+    if (!state_.holds().is_held(*entry.server, now))
+    {
+        items = entry.queue.begin_call(now);
+    }
     update_router(entry, entry.server->id);
     return items;
 }
 
-void stage_caller::update_router(server_entry& entry, const std::string& server)
+server_load_report stage_caller::load_report_of(server_entry& entry) const
 {
     const auto now = boot_clock::now();
-    router_.update_load_report(server, entry.queue.load_report(now), now);
+    auto report = entry.queue.load_report(now);
+    if (entry.server)
+    {
+        report.ejected_for = std::max(
+            report.ejected_for, state_.holds().remaining(*entry.server, now));
+    }
+    return report;
+}
+
+asio::awaitable<void> stage_caller::wait_for_hold(server_entry& entry)
+{
+    while (entry.server &&
+           state_.holds().is_held(*entry.server, boot_clock::now()))
+    {
+        co_await pause(io_, hold_check_interval);
+    }
+}
+
+void stage_caller::update_router(server_entry& entry, const std::string& server)
+{
+    router_.update_load_report(server, load_report_of(entry),
+                               boot_clock::now());
 }
 
 bool stage_caller::has_alternative(const backend_server& server) const
@@ -415,6 +442,7 @@
 {
     const auto user = entry.users;
     co_await pause(io_, release_batch_delay);
+    co_await wait_for_hold(entry);
     entry.release_scheduled = false;
     const auto handles = std::exchange(entry.results_to_free, {});
     const auto server = entry.server;
@@ -440,6 +468,7 @@
 {
     const auto user = entry.users;
     co_await pause(io_, memory_query_delay);
+    co_await wait_for_hold(entry);
     entry.memory_query_pending = false;
     const auto server = entry.server;
     if (!server)
--- a/src/connection/stage_caller.hpp
+++ b/src/connection/stage_caller.hpp
@@ -104,6 +104,9 @@
     void schedule_processing(server_entry& entry);
     asio::awaitable<void> process_queue(server_entry& entry);
     std::vector<waiting_item> take_next_call(server_entry& entry);
+    /// Returns the load of a server, which is ejected while it is held.
+    server_load_report load_report_of(server_entry& entry) const;
+    asio::awaitable<void> wait_for_hold(server_entry& entry);
     /// Makes the current load known to the router.
     void update_router(server_entry& entry, const std::string& server);
     bool has_alternative(const backend_server& server) const;
--- a/src/roles/gateway_state.hpp
+++ b/src/roles/gateway_state.hpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.hpp"
 #include "process/backend_directory.hpp"
+#include "process/server_holds.hpp"
 #include "request/direct_balancer.hpp"
 #include "request/stage_time_estimator.hpp"
 #include "request/windowed_retry_budget.hpp"
@@ -65,6 +66,7 @@
     const configuration_freshness& freshness() const { return freshness_; }
     backend_directory& directory() { return directory_; }
     const backend_directory& directory() const { return directory_; }
+    server_holds& holds() { return holds_; }
     direct_balancer& balancer() { return balancer_; }
     stage_time_estimator& stage_times() { return stage_times_; }
 
@@ -74,6 +76,7 @@
     configuration_pointer configuration_;
     configuration_freshness freshness_;
     backend_directory directory_;
+    server_holds holds_;
     direct_balancer balancer_;
     stage_time_estimator stage_times_;
     absl::flat_hash_map<std::string, windowed_retry_budget> retry_budgets_;
--- a/tests/platform/stage_caller_test.cpp
+++ b/tests/platform/stage_caller_test.cpp
@@ -68,6 +68,25 @@
         caller_.servers_changed();
     }
 
+    void hold_server(milliseconds time)
+    {
+        state_.holds().hold(*state_.directory().find("encode-1"), time,
+                            boot_clock::now());
+    }
+
+    void restart_server()
+    {
+        backend_server server = *state_.directory().find("encode-1");
+        ++server.started_ms;
+        state_.directory().put(server);
+        caller_.servers_changed();
+    }
+
+    milliseconds reported_ejection()
+    {
+        return caller_.load_reports().at(0).load_report.ejected_for;
+    }
+
     void run_handlers(int count)
     {
         for (int i = 0; i < count; ++i)
@@ -117,10 +136,39 @@
 {
     CPPUNIT_TEST_SUITE(stage_caller_test);
     CPPUNIT_TEST(a_server_is_removed_while_a_call_begins);
+    CPPUNIT_TEST(a_held_server_is_reported_as_ejected);
     CPPUNIT_TEST(a_late_copy_of_an_answer_is_no_result);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void a_held_server_is_reported_as_ejected()
+    {
+        const auto client = std::make_shared<item_client>();
+        caller_of_one_server calls({"127.0.0.1", 1});
+        calls.hold_server(milliseconds(60'000));
+        calls.enqueue_item(client);
+        calls.run_until_idle();
+        section("the item waits",
+                [&]
+                {
+                    CPPUNIT_ASSERT(calls.busy());
+                    CPPUNIT_ASSERT(client->outcomes.empty());
+                });
+        section("other gateways are told for how long",
+                [&] {
+                    CPPUNIT_ASSERT(calls.reported_ejection() >
+                                   milliseconds(50'000));
+                });
+        section("another start gets it",
+                [&]
+                {
+                    calls.restart_server();
+                    calls.run_until_idle();
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                                         client->outcomes.size());
+                });
+    }
+
     void a_server_is_removed_while_a_call_begins()
     {
         constexpr int handlers_of_a_call = 8;
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST_SUITE(translation_test);
     CPPUNIT_TEST(headers_are_read);
     CPPUNIT_TEST(leaving_servers_are_recognized);
+    CPPUNIT_TEST(holds_are_read);
     CPPUNIT_TEST(prompts_with_a_shared_prefix_have_the_same_affinity);
     CPPUNIT_TEST(stage_answers_are_read);
     CPPUNIT_TEST(corrupted_input_is_handled);
@@ -64,6 +65,27 @@
         CPPUNIT_ASSERT(!read(421, "1"));
     }
 
+    void holds_are_read()
+    {
+        const auto read = [this](unsigned status, const char* value)
+        {
+            http::response_header<> answer;
+            answer.result(status);
+            answer.set("Retry-After", value);
+            return protocol_.read_answer(answer).hold;
+        };
+        CPPUNIT_ASSERT(read(503, "2") == milliseconds(2000));
+        CPPUNIT_ASSERT(read(503, "0.25") == milliseconds(250));
+        CPPUNIT_ASSERT(read(503, "1e9") == milliseconds(300'000));
+        for (const char* bad : {"", "0", "-1", "nan", "inf", "soon",
+                                "Fri, 31 Dec 1999 23:59:59 GMT"})
+        {
+            CPPUNIT_ASSERT(!read(503, bad));
+        }
+        CPPUNIT_ASSERT(!read(200, "2"));
+        CPPUNIT_ASSERT(!read(429, "2"));
+    }
+
     void prompts_with_a_shared_prefix_have_the_same_affinity()
     {
         const auto read = [this](const char* parts)
