Let no repeated report bring back a server that has left

Callers saw requests sent to a server that had said it leaves, or whose entry was removed, once the store listed its last ready entry again.

Cause: the directory refused entries older than the last known one, and an entry of the same start and sequence number is not older. A store that comes back from an older copy lists exactly that entry for a removed server.

An entry as old as the known one is now outdated if that server was leaving, or was removed while the store was sound. A server that was only suspected until its time was over may still return with its last entry, since it may be alive and is written again as it was.

--- a/src/process/backend_directory.cpp
+++ b/src/process/backend_directory.cpp
@@ -15,21 +15,16 @@
 
 directory_change backend_directory::put(backend_server server)
 {
-    const std::string id = server.id;
-    const auto tombstone = removed_.find(id);
-    if (tombstone != removed_.end() && server.older_than(*tombstone->second))
+    if (is_outdated(server))
     {
         return directory_change::outdated;
     }
+    const std::string id = server.id;
     auto change = directory_change::joined;
     const auto found = servers_.find(id);
     if (found != servers_.end())
     {
         const backend_server& known = *found->second.server;
-        if (server.older_than(known))
-        {
-            return directory_change::outdated;
-        }
         change = directory_change::none;
         if (known.started_ms != server.started_ms ||
             known.address != server.address)
@@ -53,6 +48,32 @@
     return change;
 }
 
+bool backend_directory::is_outdated(const backend_server& server) const
+{
+    const auto found = servers_.find(server.id);
+    if (found != servers_.end())
+    {
+        const backend_server& last = *found->second.server;
+        return server.older_than(last) ||
+               (last.leaving && !server.leaving && !last.older_than(server));
+    }
+    const auto removed = removed_.find(server.id);
+    if (removed == removed_.end())
+    {
+        return false;
+    }
+    const backend_server& last = *removed->second.server;
+    return server.older_than(last) ||
+           (removed->second.has_left && !last.older_than(server));
+}
+
+backend_directory::server_pointer
+backend_directory::known(std::string_view id) const
+{
+    const auto found = servers_.find(std::string(id));
+    return found == servers_.end() ? nullptr : found->second.server;
+}
+
 directory_change backend_directory::remove(std::string_view id,
                                            bool store_disrupted,
                                            boot_clock::time_point now)
@@ -68,7 +89,7 @@
             std::min(found->second.suspected_until, now + suspicion_timeout_);
         return directory_change::suspected;
     }
-    erase(found->first);
+    erase(found->first, true);
     mark_changed();
     return directory_change::removed;
 }
@@ -110,7 +131,7 @@
     }
     for (const auto& id : expired)
     {
-        erase(id);
+        erase(id, false);
     }
     if (!expired.empty())
     {
@@ -153,7 +174,7 @@
     return found == by_address_.end() ? nullptr : found->second;
 }
 
-void backend_directory::erase(const std::string& id)
+void backend_directory::erase(const std::string& id, bool has_left)
 {
     // Bounds the memory of a fleet that replaces its servers for months.
     constexpr std::size_t max_removed = 10'000;
@@ -162,7 +183,7 @@
         removed_.clear();
     }
     const auto found = servers_.find(id);
-    removed_[found->first] = found->second.server;
+    removed_[found->first] = {found->second.server, has_left};
     servers_.erase(found);
 }
 
--- a/src/process/backend_directory.hpp
+++ b/src/process/backend_directory.hpp
@@ -44,10 +44,18 @@
     explicit backend_directory(milliseconds suspicion_timeout,
                                placement place = {});
 
-    /// Adds or updates a server. An entry older than the known one of the same
-    /// id is ignored, also if the server was removed since.
+    /// Adds or updates a server. An outdated entry is ignored.
     directory_change put(backend_server server);
 
+    /// Returns whether an entry is older than the known one of the same id,
+    /// also if the server was removed since. An entry as old as the known one
+    /// is outdated if the server was known to be leaving, and also if it was
+    /// removed while the store was sound.
+    bool is_outdated(const backend_server& server) const;
+
+    /// Returns the known entry with this id, also of a leaving server, or null.
+    server_pointer known(std::string_view id) const;
+
     /// Removes a server, or marks it as suspected if `store_disrupted`: the
     /// store was unavailable shortly before.
     directory_change remove(std::string_view id, bool store_disrupted,
@@ -86,7 +94,13 @@
         boot_clock::time_point suspected_until = boot_clock::time_point::max();
     };
 
-    void erase(const std::string& id);
+    struct removed_entry final
+    {
+        server_pointer server;
+        bool has_left = false; ///< its last entry must not bring it back
+    };
+
+    void erase(const std::string& id, bool has_left);
     void mark_changed();
 
     /// Brings the indexes up to date: once for all changes since the last
@@ -100,7 +114,7 @@
     mutable absl::flat_hash_map<std::string, server_pointer>
         by_address_; ///< IP:PORT
     mutable server_groups groups_;
-    absl::flat_hash_map<std::string, server_pointer>
+    absl::flat_hash_map<std::string, removed_entry>
         removed_; ///< last known entries
     std::uint64_t version_ = 0;
 };
--- a/tests/unit/backend_directory_test.cpp
+++ b/tests/unit/backend_directory_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST_SUITE(backend_directory_test);
     CPPUNIT_TEST(leaving_servers_are_not_used);
     CPPUNIT_TEST(late_reports_change_nothing);
+    CPPUNIT_TEST(repeated_reports_bring_no_server_back);
     CPPUNIT_TEST(a_server_may_return_under_its_id);
     CPPUNIT_TEST(expired_entries_may_return);
     CPPUNIT_TEST(a_list_of_thousands_is_applied_at_once);
@@ -87,6 +88,50 @@
                 });
     }
 
+    void repeated_reports_bring_no_server_back()
+    {
+        directory_.put(make_entry("s1", 5, 3, true));
+        directory_.put(make_entry("s2", 5, 3));
+        directory_.put(make_entry("s3", 5, 3));
+        section("of a leaving server",
+                [&]
+                {
+                    CPPUNIT_ASSERT(directory_change::outdated ==
+                                   directory_.put(make_entry("s1", 5, 3)));
+                    CPPUNIT_ASSERT(!directory_.find("s1"));
+                });
+        section("of one that was removed while the store was sound",
+                [&]
+                {
+                    directory_.remove("s1", false, now_);
+                    directory_.remove("s2", false, now_);
+                    directory_.put(make_entry("s1", 5, 3, true));
+                    directory_.replace_all({make_entry("s1", 5, 3),
+                                            make_entry("s2", 5, 3),
+                                            make_entry("s3", 5, 3)},
+                                           true, now_);
+                    CPPUNIT_ASSERT(!directory_.find("s1"));
+                    CPPUNIT_ASSERT(!directory_.find("s2"));
+                });
+        section("but one that only expired may be listed as before",
+                [&]
+                {
+                    directory_.remove("s3", true, now_);
+                    directory_.expire(now_ + expiry_time);
+                    CPPUNIT_ASSERT(!directory_.find("s3"));
+                    directory_.put(make_entry("s3", 5, 3));
+                    CPPUNIT_ASSERT(directory_.find("s3"));
+                });
+        section("and a later report or start brings one back",
+                [&]
+                {
+                    directory_.put(make_entry("s1", 6, 1));
+                    directory_.put(make_entry("s2", 5, 4));
+                    directory_.put(make_entry("s2", 5, 4));
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(3), usable());
+                });
+    }
+
     void a_server_may_return_under_its_id()
     {
         directory_.put(make_entry("s1", 5, 30));
