Read everything again when the store comes back from an older copy

Callers would have seen, after the store came back from an older copy: configurations that never came into force, since the reader watched from a revision that was given out again, without a 410; keys trusted without end on the word of a store that has an older version than the one in force (the empty watch after the read confirmed it), or that has lost a revocation; removed servers used again, at followers too.

A new era counts as a disruption, so missing servers are suspected. A reader relays what it knows instead of outdated entries; followers keep the raw relayed entries so that digests still agree.

No test raises the era between two pages of a list or in an answer of 410 or 503 alone.

--- a/src/connection/update_follower.cpp
+++ b/src/connection/update_follower.cpp
@@ -161,13 +161,13 @@
         {
             all.push_back(*change.entry);
         }
-        updater_.replace_servers(std::move(all), now);
+        updater_.replace_relayed_servers(std::move(all), now);
     }
     for (const auto& change : response.changes)
     {
         if (!response.is_snapshot && change.entry)
         {
-            updater_.put(*change.entry);
+            updater_.put_relayed(*change.entry);
         }
         else if (!response.is_snapshot)
         {
--- a/src/roles/gateway_state_updater.cpp
+++ b/src/roles/gateway_state_updater.cpp
@@ -26,8 +26,9 @@
 {
 }
 
-void gateway_state_updater::apply_configuration(gateway_configuration_data data,
-                                                boot_clock::time_point as_of)
+void gateway_state_updater::apply_configuration(
+    gateway_configuration_data data,
+    std::optional<boot_clock::time_point> as_of)
 {
     const auto next =
         std::make_shared<const gateway_configuration>(std::move(data));
@@ -39,13 +40,19 @@
                     {"before",
                      previous ? std::to_string(previous->version()) : "none"},
                     {"routes", std::to_string(next->route_count())}});
-        state_.freshness().confirm(as_of);
+        if (as_of)
+        {
+            state_.freshness().confirm(*as_of);
+        }
         on_changed_();
         return;
     }
     if (next->version() == previous->version())
     {
-        state_.freshness().confirm(as_of);
+        if (as_of)
+        {
+            state_.freshness().confirm(*as_of);
+        }
         return;
     }
     log_warning("configuration", "Older version ignored.",
@@ -53,6 +60,11 @@
                  {"in_force", std::to_string(previous->version())}});
 }
 
+std::uint64_t gateway_state_updater::configuration_version() const
+{
+    return state_.configuration_version();
+}
+
 void gateway_state_updater::confirm_configuration(boot_clock::time_point as_of)
 {
     state_.freshness().confirm(as_of);
@@ -89,6 +101,26 @@
 
 void gateway_state_updater::replace_servers(std::vector<backend_server> servers,
                                             boot_clock::time_point now)
+{
+    const backend_directory& directory = state_.directory();
+    std::vector<backend_server> current;
+    current.reserve(servers.size());
+    for (auto& server : servers)
+    {
+        if (!directory.is_outdated(server))
+        {
+            current.push_back(std::move(server));
+        }
+        else if (const auto known = directory.known(server.id))
+        {
+            current.push_back(*known);
+        }
+    }
+    replace_relayed_servers(std::move(current), now);
+}
+
+void gateway_state_updater::replace_relayed_servers(
+    std::vector<backend_server> servers, boot_clock::time_point now)
 {
     entries_.replace_all(servers);
     const std::size_t count = servers.size();
@@ -115,6 +147,16 @@
 }
 
 void gateway_state_updater::put(backend_server server)
+{
+    if (state_.directory().is_outdated(server))
+    {
+        log_change(server, directory_change::outdated);
+        return;
+    }
+    put_relayed(std::move(server));
+}
+
+void gateway_state_updater::put_relayed(backend_server server)
 {
     const backend_server entry = server;
     entries_.put(entry);
@@ -187,6 +229,16 @@
          {"confirmed_ms_ago", age ? std::to_string(age->count()) : "never"}});
 }
 
+void gateway_state_updater::on_store_restored(std::uint64_t era_before,
+                                              std::uint64_t era,
+                                              boot_clock::time_point now)
+{
+    last_failure_ = now;
+    log_warning("platform", "Store came back from an older copy.",
+                {{"era_before", std::to_string(era_before)},
+                 {"era", std::to_string(era)}});
+}
+
 void gateway_state_updater::on_time(boot_clock::time_point now)
 {
     const auto expired = state_.directory().expire(now);
--- a/src/roles/gateway_state_updater.hpp
+++ b/src/roles/gateway_state_updater.hpp
@@ -34,9 +34,13 @@
         gateway_state& state, std::function<void()> on_changed,
         std::function<void(const std::string&)> on_server_gone);
 
-    /// Installs a configuration that was the newest one at `as_of`.
+    /// Installs a configuration that was the newest one at `as_of`, or, without
+    /// this time, one that may not be the newest.
     void apply_configuration(gateway_configuration_data data,
-                             boot_clock::time_point as_of);
+                             std::optional<boot_clock::time_point> as_of);
+
+    /// Returns the version in force, or 0 if there is none.
+    std::uint64_t configuration_version() const;
 
     /// Confirms that nothing newer than the current configuration existed at
     /// `as_of`.
@@ -59,17 +63,31 @@
     /// store is not disrupted.
     std::optional<milliseconds> failure_age(boot_clock::time_point now) const;
 
-    /// Replaces all entries by a complete list of the servers.
+    /// Replaces all entries by a complete list of the servers read from the
+    /// store. Outdated entries are not relayed to other processes.
     void replace_servers(std::vector<backend_server> servers,
                          boot_clock::time_point now);
 
-    /// Adds or updates, or removes, the entry of one server.
+    /// Replaces all entries by those that another process relays.
+    void replace_relayed_servers(std::vector<backend_server> servers,
+                                 boot_clock::time_point now);
+
+    /// Adds or updates the entry of one server, read from the store or relayed
+    /// by another process.
     void put(backend_server server);
+    void put_relayed(backend_server server);
+
+    /// Removes the entry of one server.
     void remove_server(const std::string& id, boot_clock::time_point now);
 
     /// Logs a published value that cannot be parsed.
     void report_invalid_value(std::string_view key, std::string_view reason);
 
+    /// Records that the store came back from an older copy: entries of live
+    /// servers may be missing until they are written again.
+    void on_store_restored(std::uint64_t era_before, std::uint64_t era,
+                           boot_clock::time_point now);
+
     /// Record whether the store answered a call of the given operation.
     void on_source_answered(std::string_view operation,
                             boot_clock::time_point now);
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -27,12 +27,6 @@
     return target.substr(begin, target.find('&', begin) - begin);
 }
 
-scripted_answer json_answer(const json& body)
-{
-    return scripted_answer::of(200, body.dump(),
-                               {"Content-Type: application/json"});
-}
-
 } // namespace
 
 store_standin::store_standin()
@@ -52,26 +46,40 @@
 void store_standin::put(const std::string& key, const std::string& value)
 {
     const std::lock_guard lock(mutex_);
-    item& entry = items_[key];
-    entry.value = value;
-    entry.revision = ++revision_;
-    entry.created = entry.created == 0 ? revision_ : entry.created;
-    history_.push_back({revision_, key, entry});
+    write(key, value);
 }
 
 void store_standin::remove(const std::string& key)
 {
     const std::lock_guard lock(mutex_);
-    items_.erase(key);
-    history_.push_back({++revision_, key, std::nullopt});
+    state_.items.erase(key);
+    state_.history.push_back({++state_.revision, key, std::nullopt});
 }
 
 void store_standin::compact()
 {
     const std::lock_guard lock(mutex_);
-    oldest_revision_ = revision_ + 1;
-    history_.clear();
-    ++revision_;
+    state_.oldest_revision = state_.revision + 1;
+    state_.history.clear();
+    ++state_.revision;
+}
+
+void store_standin::take_copy()
+{
+    const std::lock_guard lock(mutex_);
+    copy_ = state_;
+}
+
+void store_standin::come_back(
+    const std::vector<std::pair<std::string, std::string>>& written_again)
+{
+    const std::lock_guard lock(mutex_);
+    state_ = copy_;
+    ++era_;
+    for (const auto& [key, value] : written_again)
+    {
+        write(key, value);
+    }
 }
 
 void store_standin::set_mode(store_mode mode)
@@ -88,7 +96,7 @@
     const std::string target(request.target());
     if (mode_ == store_mode::busy)
     {
-        reply(scripted_answer::of(503, ""));
+        reply(answer(503, ""));
         return;
     }
     if (mode_ == store_mode::unresponsive ||
@@ -123,16 +131,36 @@
     }
 }
 
+void store_standin::write(const std::string& key, const std::string& value)
+{
+    item& entry = state_.items[key];
+    entry.value = value;
+    entry.revision = ++state_.revision;
+    entry.created = entry.created == 0 ? state_.revision : entry.created;
+    state_.history.push_back({state_.revision, key, entry});
+}
+
+scripted_answer store_standin::answer(unsigned status,
+                                      const std::string& body) const
+{
+    std::vector<std::string> headers{"Content-Type: application/json"};
+    if (sends_era_)
+    {
+        headers.push_back("Store-Era: " + std::to_string(era_));
+    }
+    return scripted_answer::of(status, body, headers);
+}
+
 scripted_answer store_standin::read(const std::string& key) const
 {
-    const auto found = items_.find(key);
-    if (found == items_.end())
+    const auto found = state_.items.find(key);
+    if (found == state_.items.end())
     {
-        return scripted_answer::of(404, "");
+        return answer(404, "");
     }
     auto body = entry_json(key, found->second);
-    body["at"] = revision_;
-    return json_answer(body);
+    body["at"] = state_.revision;
+    return answer(200, body.dump());
 }
 
 scripted_answer store_standin::range(const std::string& prefix,
@@ -140,7 +168,7 @@
 {
     auto entries = json::array();
     bool more = false;
-    for (const auto& [key, entry] : items_)
+    for (const auto& [key, entry] : state_.items)
     {
         if (!key.starts_with(prefix) || key <= after)
         {
@@ -153,20 +181,21 @@
         }
         entries.push_back(entry_json(key, entry));
     }
-    return json_answer(
-        {{"entries", entries}, {"hasMore", more}, {"at", revision_}});
+    const json body{
+        {"entries", entries}, {"hasMore", more}, {"at", state_.revision}};
+    return answer(200, body.dump());
 }
 
 std::optional<scripted_answer> store_standin::events(const std::string& prefix,
                                                      std::uint64_t after,
                                                      bool timed_out) const
 {
-    if (after + 1 < oldest_revision_)
+    if (after + 1 < state_.oldest_revision || after > state_.revision)
     {
-        return scripted_answer::of(410, "");
+        return answer(410, "");
     }
     auto list = json::array();
-    for (const auto& entry : history_)
+    for (const auto& entry : state_.history)
     {
         if (entry.revision <= after || !entry.key.starts_with(prefix))
         {
@@ -181,7 +210,8 @@
     {
         return std::nullopt;
     }
-    return json_answer({{"events", list}, {"at", revision_}});
+    const json body{{"events", list}, {"at", state_.revision}};
+    return answer(200, body.dump());
 }
 
 json store_standin::entry_json(const std::string& key, const item& entry) const
@@ -207,13 +237,13 @@
                   [&](pending_watch& entry)
                   {
                       const bool timed_out = now >= entry.deadline;
-                      auto answer =
+                      auto result =
                           events(entry.prefix, entry.after, timed_out);
-                      if (answer)
+                      if (result)
                       {
-                          entry.reply(std::move(*answer));
+                          entry.reply(std::move(*result));
                       }
-                      return answer.has_value();
+                      return result.has_value();
                   });
 }
 
--- a/tests/standins/store_standin.hpp
+++ b/tests/standins/store_standin.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace mangolink::test
@@ -22,7 +23,8 @@
 };
 
 /// Stand-in for the key-value store of the platform: single keys, paged ranges,
-/// watches, and a history that can be compacted. Thread safe.
+/// watches, a history that can be compacted, and a return from an older copy.
+/// Thread safe.
 class store_standin final
 {
 public:
@@ -38,6 +40,18 @@
     /// Drops the history; watches from earlier revisions get 410.
     void compact();
 
+    /// Copies the items, the history and the revision.
+    void take_copy();
+
+    /// Continues from the copy in a new era, with the given values written
+    /// again before any call is answered. Pending watches wait on; those from a
+    /// revision that no longer exists get 410.
+    void come_back(const std::vector<std::pair<std::string, std::string>>&
+                       written_again = {});
+
+    /// Sends no era, like older stores.
+    void hide_era() { sends_era_ = false; }
+
     void set_mode(store_mode mode);
 
     /// Leaves every nth call unanswered; 0 answers all.
@@ -61,6 +75,13 @@
         std::string key;
         std::optional<item> new_item; ///< nullopt if removed
     };
+    struct store_state final
+    {
+        std::map<std::string, item> items;
+        std::vector<change> history;
+        std::uint64_t revision = 1;
+        std::uint64_t oldest_revision = 1;
+    };
     struct pending_watch final
     {
         std::string prefix;
@@ -70,6 +91,8 @@
     };
 
     void handle(const text_request& request, standin_server::reply reply);
+    void write(const std::string& key, const std::string& value);
+    scripted_answer answer(unsigned status, const std::string& body) const;
     scripted_answer read(const std::string& key) const;
     scripted_answer range(const std::string& prefix,
                           const std::string& after) const;
@@ -81,10 +104,10 @@
     void check_watches();
 
     mutable std::mutex mutex_;
-    std::map<std::string, item> items_;
-    std::vector<change> history_;
-    std::uint64_t revision_ = 1;
-    std::uint64_t oldest_revision_ = 1;
+    store_state state_;
+    store_state copy_;
+    std::uint64_t era_ = 1;
+    std::atomic<bool> sends_era_{true};
     std::vector<pending_watch> watches_;
     store_mode mode_ = store_mode::serving;
     std::atomic<unsigned> drop_answer_every_{0};
