Extend an ejection once for failures of one moment

Callers saw: after a server was silent for a second, it got no requests for up to 8 s, and the other servers of its pool carried its load.

Cause: every request in flight that failed at the end of one silence counted as a failure of its own, and each one beyond the third doubled the ejection.

Evidence: direct_balancer_test::failures_of_one_moment_do_not_extend_an_ejection failed before (20 failures at one moment: still ejected 1.1 s later) and passes.

Why the fix works: once a server is ejected, failures within a second of the last one that was counted are not counted. A probe is made a second after that at the earliest, so each probe that fails still doubles the ejection.

--- a/src/request/direct_balancer.cpp
+++ b/src/request/direct_balancer.cpp
@@ -188,7 +188,13 @@
     {
         return;
     }
+    if (record.failures >= ejection_failures &&
+        now < record.last_failure + min_ejection_time)
+    {
+        return; // one fault fails all requests in flight
+    }
     ++record.failures;
+    record.last_failure = now;
     if (record.failures >= ejection_failures)
     {
         const auto doublings =
--- a/src/request/direct_balancer.hpp
+++ b/src/request/direct_balancer.hpp
@@ -82,7 +82,8 @@
     struct server_record final
     {
         std::uint32_t in_flight = 0;
-        std::uint32_t failures = 0; ///< consecutive
+        std::uint32_t failures = 0;          ///< consecutive
+        boot_clock::time_point last_failure; ///< last one that was counted
         boot_clock::time_point ejected_until;
         double first_byte_ms = 0;      ///< smoothed; 0: unknown
         std::uint64_t last_choice = 0; ///< sequence number; 0: never chosen
--- a/tests/unit/direct_balancer_test.cpp
+++ b/tests/unit/direct_balancer_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(requests_with_a_shared_prefix_use_one_server);
     CPPUNIT_TEST(large_requests_stay_in_their_region);
     CPPUNIT_TEST(failing_servers_are_ejected_and_probed);
+    CPPUNIT_TEST(failures_of_one_moment_do_not_extend_an_ejection);
     CPPUNIT_TEST(a_pool_keeps_candidates_when_all_are_ejected);
     CPPUNIT_TEST(requests_prefer_the_zone_of_their_results);
     CPPUNIT_TEST_SUITE_END();
@@ -158,6 +159,22 @@
                 });
     }
 
+    void failures_of_one_moment_do_not_extend_an_ejection()
+    {
+        fail("a1", 20);
+        now_ += milliseconds(1100);
+        CPPUNIT_ASSERT(!balancer_.is_ejected("a1", now_));
+        section("each probe that fails extends it",
+                [&]
+                {
+                    fail("a1", 1);
+                    now_ += milliseconds(1900);
+                    CPPUNIT_ASSERT(balancer_.is_ejected("a1", now_));
+                    now_ += milliseconds(200);
+                    CPPUNIT_ASSERT(!balancer_.is_ejected("a1", now_));
+                });
+    }
+
     void a_pool_keeps_candidates_when_all_are_ejected()
     {
         for (const auto& one : servers_)
