Connect again to the only server when it is silent

Callers saw: 503 "no server" after 0.7 s although their request had seconds left and its only server was merely silent for 1.2 s.

Cause: a server that did not accept a connection in time counted as tried, so that no server was left.

Evidence: silence_test::a_request_is_not_refused_by_its_only_servers_silence failed before (503 instead of 200) and passes. The stand-in's fall_silent() neither reads, writes nor accepts for a time. A refused connection still leads to a refusal at once: a_request_is_refused_at_once_by_a_closed_port, which passed before as well.

Why the fix works: a connect that times out excludes the server only while another one was not tried; the limit of four failed connects bounds the wait at 2.8 s.

--- a/src/connection/attempt_sender.cpp
+++ b/src/connection/attempt_sender.cpp
@@ -76,8 +76,13 @@
                                                         std::move(exchange));
         }
         ++unsent_;
-        tried_servers_.push_back(server->id);
-        log_.push_back(server->id + " unreachable");
+        // A sound server that is silent accepts connections again soon.
+        const bool silent = lease.error == asio::error::timed_out;
+        if (!silent || has_untried_server(server->id))
+        {
+            tried_servers_.push_back(server->id);
+        }
+        log_.push_back(server->id + (silent ? " silent" : " unreachable"));
         state.balancer().send_ended(server->id, send_outcome::failed, {},
                                     boot_clock::now());
     }
@@ -118,21 +123,26 @@
 
 bool attempt_sender::may_send_elsewhere() const
 {
-    const auto& servers = context_.state.directory().servers(accepted_.service);
-    const bool has_server = std::any_of(
-        servers.begin(), servers.end(),
-        [this](const auto& server)
-        {
-            return std::find(tried_servers_.begin(), tried_servers_.end(),
-                             server->id) == tried_servers_.end();
-        });
-    return has_server && accepted_.route->is_retryable() &&
+    return has_untried_server({}) && accepted_.route->is_retryable() &&
            sends_ < accepted_.route->max_attempts &&
-           time_left() > min_time_left &&
+           unsent_ < max_connect_failures && time_left() > min_time_left &&
            context_.state.retry_budget_of(accepted_.service)
                .available(boot_clock::now());
 }
 
+bool attempt_sender::has_untried_server(const std::string& except) const
+{
+    const auto& servers = context_.state.directory().servers(accepted_.service);
+    return std::any_of(servers.begin(), servers.end(),
+                       [&](const auto& server)
+                       {
+                           return server->id != except &&
+                                  std::find(tried_servers_.begin(),
+                                            tried_servers_.end(),
+                                            server->id) == tried_servers_.end();
+                       });
+}
+
 std::string attempt_sender::log_text() const
 {
     return absl::StrJoin(log_, "; ");
--- a/src/connection/attempt_sender.hpp
+++ b/src/connection/attempt_sender.hpp
@@ -63,6 +63,7 @@
 private:
     text_request backend_request(const backend_server& server,
                                  const request_stages* stages) const;
+    bool has_untried_server(const std::string& except) const;
     milliseconds time_left() const;
 
     gateway_context& context_;
--- a/tests/platform/silence_test.cpp
+++ b/tests/platform/silence_test.cpp
@@ -11,6 +11,9 @@
 /// Longer than the gap after which another server is sought.
 constexpr milliseconds silence{2200};
 
+/// That of a sound server.
+constexpr milliseconds short_silence{1200};
+
 } // namespace
 
 /// Sound backend servers that fall silent for a while and go on.
@@ -21,6 +24,8 @@
     CPPUNIT_TEST(a_stream_is_not_cut_when_its_stages_are_refused);
     CPPUNIT_TEST(a_late_answer_is_delivered_when_the_alternative_refuses);
     CPPUNIT_TEST(a_server_that_stays_silent_is_replaced);
+    CPPUNIT_TEST(a_request_is_not_refused_by_its_only_servers_silence);
+    CPPUNIT_TEST(a_request_is_refused_at_once_by_a_closed_port);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -158,6 +163,39 @@
                 });
     }
 
+    void a_request_is_not_refused_by_its_only_servers_silence()
+    {
+        test_cluster cluster;
+        auto& desk = cluster.add_backend("desk", "desk-1");
+        cluster.add_route("/orders/", "non_idempotent", "desk");
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        desk.server().fall_silent(short_silence);
+        test_caller caller(gateway.callers());
+        const auto answer =
+            caller.send_request(cluster.request("/orders/x", "r"));
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), desk.run_count("r"));
+    }
+
+    void a_request_is_refused_at_once_by_a_closed_port()
+    {
+        test_cluster cluster;
+        cluster.add_backend("desk", "desk-1");
+        cluster.set_address("desk-1", "127.0.0.1:1");
+        cluster.add_route("/orders/", "non_idempotent", "desk");
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        test_caller caller(gateway.callers());
+        const auto begin = boot_clock::now();
+        const auto answer =
+            caller.send_request(cluster.request("/orders/x", "r"));
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+        CPPUNIT_ASSERT(boot_clock::now() - begin < milliseconds(300));
+    }
+
 private:
     using json = nlohmann::json;
 
--- a/tests/standins/standin_server.cpp
+++ b/tests/standins/standin_server.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <sys/socket.h>
 
 #include <future>
 
@@ -112,6 +113,23 @@
     done.get_future().wait();
 }
 
+void standin_server::fall_silent(milliseconds time)
+{
+    std::promise<void> silent;
+    post(
+        [this, time, &silent]
+        {
+            // With a full accept queue the kernel drops further connects.
+            (void)::listen(acceptor_.native_handle(), 0);
+            tcp::socket filler(io_);
+            filler.connect(acceptor_.local_endpoint());
+            silent.set_value();
+            std::this_thread::sleep_for(time);
+            (void)::listen(acceptor_.native_handle(), SOMAXCONN);
+        });
+    silent.get_future().wait();
+}
+
 asio::awaitable<void> standin_server::accept_loop()
 {
     while (true)
--- a/tests/standins/standin_server.hpp
+++ b/tests/standins/standin_server.hpp
@@ -106,6 +106,11 @@
     /// Returns when that is in force. Not called on the thread of the server.
     void set_unreachable(bool unreachable);
 
+    /// Neither reads, writes nor accepts for a time; open connections stay
+    /// open. Returns when that is in force. Not called on the thread of the
+    /// server.
+    void fall_silent(milliseconds time);
+
 private:
     asio::awaitable<void> accept_loop();
     asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket);
