Let a stage call outlast its server's silence where there is no other server

Callers saw: 503 "stage pool too late" or "stage pool failed" after the servers of a stage pool had been silent for 1.2 s, with more than a second left.

Cause: a call without an answer in twice its expected time and 0.35 s was ended, its items were executed again, and the server got no call for 2 s, also when no other one could be used; so did a server that accepted no connection in 0.3 s. A call that did complete after a silence would have counted as slowness.

Why the fix works: an overdue call ends only once another server can be used, or 1.5 s later; a server without an alternative is not ejected for a connect that timed out, and the items of such a call count as unsent, since nothing was sent. Calls beyond their time limit do not change the slowdown.

--- a/src/connection/backend_caller.cpp
+++ b/src/connection/backend_caller.cpp
@@ -29,11 +29,16 @@
 asio::awaitable<std::optional<text_response>>
 backend_caller::call(std::shared_ptr<const backend_server> to,
                      text_request request, milliseconds limit,
-                     std::weak_ptr<backend_exchange>* running)
+                     std::weak_ptr<backend_exchange>* running,
+                     error_code* connect_error)
 {
     const auto lease = co_await connections_.acquire(to, connect_limit);
     if (!lease.connection)
     {
+        if (connect_error != nullptr)
+        {
+            *connect_error = lease.error;
+        }
         co_return std::nullopt;
     }
     auto current = std::make_shared<backend_exchange>(
--- a/src/connection/backend_caller.hpp
+++ b/src/connection/backend_caller.hpp
@@ -25,10 +25,11 @@
 
     /// Makes a call and returns the complete answer, or nothing on failure. If
     /// `running` is not null, it refers to the exchange while that is running.
+    /// If `connect_error` is not null, it is set if no connection was opened.
     asio::awaitable<std::optional<text_response>>
     call(std::shared_ptr<const backend_server> to, text_request request,
-         milliseconds limit,
-         std::weak_ptr<backend_exchange>* running = nullptr);
+         milliseconds limit, std::weak_ptr<backend_exchange>* running = nullptr,
+         error_code* connect_error = nullptr);
 
     /// Closes the idle connections to a server.
     void close_connections(const std::string& server);
--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "base/metrics.hpp"
 #include "connection/backend_caller.hpp"
+#include "connection/backend_exchange.hpp"
 #include "connection/failure_log.hpp"
 #include "connection/forward_protocol.hpp"
 #include "connection/listening_socket.hpp"
@@ -21,6 +22,12 @@
 constexpr milliseconds release_batch_delay{10};
 constexpr milliseconds release_timeout{1000};
 
+/// A sound server may be silent for this much longer than a call takes.
+constexpr milliseconds silence_allowance{1500};
+
+/// Interval at which another server is sought for an overdue call.
+constexpr milliseconds overdue_interval{50};
+
 /// Delay before the query, so that the server's report, which lags slightly,
 /// includes releases in flight.
 constexpr milliseconds memory_query_delay{100};
@@ -269,13 +276,22 @@
     {
         reserved += item.task->result_bytes;
     }
-    const auto end = !result.answered ? call_outcome::lost
-                     : result.shed    ? call_outcome::shed
-                                      : call_outcome::answered;
+    const bool silent = result.unconnected && !has_alternative(*server);
+    const auto end = silent             ? call_outcome::silent
+                     : !result.answered ? call_outcome::lost
+                     : result.shed      ? call_outcome::shed
+                                        : call_outcome::answered;
     entry.queue.call_ended(items.size(), reserved, duration, end, now);
     update_router(entry, server->id);
     log_call(entry, items.size(), duration, result);
-    complete_items(entry, items, result);
+    if (result.unconnected)
+    {
+        return_items(items, stage_item_outcome::unsent);
+    }
+    else
+    {
+        complete_items(entry, items, result);
+    }
     schedule_processing(entry);
 }
 
@@ -309,9 +325,17 @@
     }
     call_result result;
     text_request request = protocol_.stage_call(*server, call_items);
-    const auto answer = co_await calls_.call(server, std::move(request), limit);
+    const auto running = std::make_shared<std::weak_ptr<backend_exchange>>();
+    asio::co_spawn(io_, replace_overdue(running, server, limit),
+                   failure_log("overdue stage call"));
+    error_code connect_error;
+    const auto answer = co_await calls_.call(server, std::move(request),
+                                             limit + silence_allowance,
+                                             running.get(), &connect_error);
+    running->reset(); // the connection may be used by another call by now
     if (!answer)
     {
+        result.unconnected = connect_error == asio::error::timed_out;
         co_return result;
     }
     result.shed = protocol_.read_answer(*answer).proven_not_run;
@@ -324,6 +348,24 @@
     co_return result;
 }
 
+asio::awaitable<void> stage_caller::replace_overdue(
+    std::shared_ptr<std::weak_ptr<backend_exchange>> running,
+    server_pointer server, milliseconds limit)
+{
+    co_await pause(io_, limit);
+    auto exchange = running->lock();
+    while (exchange && !has_alternative(*server))
+    {
+        exchange.reset(); // its owner ends it
+        co_await pause(io_, overdue_interval);
+        exchange = running->lock();
+    }
+    if (exchange)
+    {
+        exchange->abort();
+    }
+}
+
 void stage_caller::complete_items(server_entry& entry,
                                   const std::vector<waiting_item>& items,
                                   const call_result& result)
--- a/src/connection/stage_caller.hpp
+++ b/src/connection/stage_caller.hpp
@@ -18,6 +18,7 @@
 {
 
 class backend_caller;
+class backend_exchange;
 class forward_protocol;
 class gateway_state;
 class metrics_registry;
@@ -92,6 +93,7 @@
     {
         bool answered = false; ///< executed or refused
         bool shed = false;
+        bool unconnected = false; ///< the server accepted no connection in time
         std::vector<stage_item_answer> items;
     };
 
@@ -118,6 +120,10 @@
     asio::awaitable<call_result>
     exchange(server_pointer server, const std::vector<waiting_item>& items,
              milliseconds limit);
+    /// Ends a call that is overdue as soon as another server can be used.
+    asio::awaitable<void>
+    replace_overdue(std::shared_ptr<std::weak_ptr<backend_exchange>> running,
+                    server_pointer server, milliseconds limit);
     void complete_items(server_entry& entry,
                         const std::vector<waiting_item>& items,
                         const call_result& result);
--- a/src/request/stage_queue.cpp
+++ b/src/request/stage_queue.cpp
@@ -129,6 +129,10 @@
     calls_ -= calls_ > 0 ? 1 : 0;
     busy_until_ = now;
     memory_.cancel_reservation(reserved_bytes);
+    if (outcome == call_outcome::silent)
+    {
+        return;
+    }
     if (outcome != call_outcome::answered)
     {
         ejected_until_ =
@@ -136,6 +140,10 @@
                                                  : ejection_time);
         return;
     }
+    if (took > call_timeout(item_count))
+    {
+        return; // the server was silent, not slow
+    }
     const double nominal_ms = std::max(
         1.0, static_cast<double>(nominal_duration(item_count).count()));
     const double ratio = static_cast<double>(took.count()) / nominal_ms;
--- a/src/request/stage_queue.hpp
+++ b/src/request/stage_queue.hpp
@@ -25,8 +25,9 @@
 enum class call_outcome : std::uint8_t
 {
     answered,
-    shed, ///< rejected by the server for lack of capacity
-    lost  ///< no answer, or an unreadable one
+    shed,  ///< rejected by the server for lack of capacity
+    lost,  ///< no answer, or an unreadable one
+    silent ///< not accepted in time, and no other server could be used
 };
 
 /// Load of a stage server as reported to the other gateways.
@@ -71,13 +72,14 @@
     std::vector<waiting_item> remove_all() { return std::exchange(queue_, {}); }
 
     /// Records the end of a call: releases the memory reserved for its results,
-    /// and updates the slowdown or ejects the server.
+    /// and updates the slowdown or ejects the server. A silent server is not
+    /// ejected.
     void call_ended(std::size_t item_count, std::uint64_t reserved_bytes,
                     milliseconds took, call_outcome outcome,
                     boot_clock::time_point now);
 
-    /// Returns how long a call with this many items may take before it is
-    /// considered failed.
+    /// Returns how long a call with this many items may take before another
+    /// server is used instead.
     milliseconds call_timeout(std::size_t item_count) const;
 
     server_load_report load_report(boot_clock::time_point now);
--- a/tests/platform/silence_test.cpp
+++ b/tests/platform/silence_test.cpp
@@ -26,6 +26,9 @@
     CPPUNIT_TEST(a_server_that_stays_silent_is_replaced);
     CPPUNIT_TEST(a_request_is_not_refused_by_its_only_servers_silence);
     CPPUNIT_TEST(a_request_is_refused_at_once_by_a_closed_port);
+    CPPUNIT_TEST(a_silent_stage_server_executes_no_item_twice);
+    CPPUNIT_TEST(a_silent_stage_pool_serves_again_right_after);
+    CPPUNIT_TEST(a_stage_server_that_stays_silent_is_replaced);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -196,9 +199,120 @@
         CPPUNIT_ASSERT(boot_clock::now() - begin < milliseconds(300));
     }
 
+    void a_silent_stage_server_executes_no_item_twice()
+    {
+        test_cluster cluster;
+        auto& stage =
+            cluster.add_stage_server("encode", "encode-1", milliseconds(150));
+        add_staged_route(cluster);
+        auto& gateway = cluster.start_gateway();
+        std::thread during_call(
+            [&]
+            {
+                bench::wait_until([&] { return !stage.calls().empty(); });
+                stage.server().fall_silent(short_silence);
+            });
+        test_caller caller(gateway.callers());
+        const auto answer =
+            caller.send_request(staged(cluster, "r", milliseconds(2400)));
+        during_call.join();
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), stage.received().size());
+    }
+
+    void a_silent_stage_pool_serves_again_right_after()
+    {
+        test_cluster cluster;
+        std::vector<stage_server_standin*> stages;
+        for (const char* id : {"encode-1", "encode-2"})
+        {
+            stages.push_back(
+                &cluster.add_stage_server("encode", id, milliseconds(20)));
+        }
+        add_staged_route(cluster);
+        auto& gateway = cluster.start_gateway();
+        for (auto* stage : stages)
+        {
+            stage->server().fall_silent(short_silence);
+        }
+        std::atomic<unsigned> served{0};
+        std::vector<std::thread> callers;
+        constexpr unsigned requests = 8;
+        for (unsigned i = 0; i < requests; ++i)
+        {
+            callers.emplace_back(
+                [&, i]
+                {
+                    const std::string id = "r" + std::to_string(i);
+                    test_caller caller(gateway.callers());
+                    const auto answer = caller.send_request(
+                        staged(cluster, id, milliseconds(2400)));
+                    served += answer && answer->result_int() == 200 ? 1 : 0;
+                });
+        }
+        for (auto& caller : callers)
+        {
+            caller.join();
+        }
+        CPPUNIT_ASSERT_EQUAL(requests, served.load());
+    }
+
+    void a_stage_server_that_stays_silent_is_replaced()
+    {
+        test_cluster cluster;
+        auto& one =
+            cluster.add_stage_server("encode", "encode-1", milliseconds(20));
+        add_staged_route(cluster);
+        auto& gateway = cluster.start_gateway();
+        one.hang_next(1);
+        std::thread during_call(
+            [&]
+            {
+                bench::wait_until([&] { return one.hung() > 0; });
+                std::this_thread::sleep_for(milliseconds(800));
+                cluster.add_stage_server("encode", "encode-2",
+                                         milliseconds(20));
+            });
+        test_caller caller(gateway.callers());
+        const auto begin = boot_clock::now();
+        const auto answer =
+            caller.send_request(staged(cluster, "r", milliseconds(5000)));
+        during_call.join();
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+        section("as soon as there is another one",
+                [&] {
+                    CPPUNIT_ASSERT(boot_clock::now() - begin <
+                                   milliseconds(1500));
+                });
+    }
+
 private:
     using json = nlohmann::json;
 
+    static void add_staged_route(test_cluster& cluster)
+    {
+        cluster.add_backend("engine", "engine-1")
+            .set_stream(4, milliseconds(1));
+        auto& route = add_streaming_route(cluster);
+        route["phases"] = {{{"service", "encode"},
+                            {"after", json::array()},
+                            {"length", 1000}}};
+        route["targetLatencyMs"] = 2000;
+        cluster.add_stage_pool("encode");
+        cluster.publish();
+    }
+
+    static text_request staged(test_cluster& cluster, const std::string& id,
+                               milliseconds deadline)
+    {
+        auto request = cluster.request("/talk/x", id, deadline);
+        request.set("X-Chunk-Count", "2");
+        request.set("X-Chunk-Key", "key-" + id);
+        return request;
+    }
+
     static json& add_streaming_route(test_cluster& cluster)
     {
         auto& route = cluster.add_route("/talk/", "streaming", "engine");
--- a/tests/standins/stage_server_standin.cpp
+++ b/tests/standins/stage_server_standin.cpp
@@ -77,6 +77,7 @@
     if (calls_to_hang_ > 0)
     {
         --calls_to_hang_;
+        ++hung_calls_;
         scripted_answer unanswered;
         unanswered.end = answer_end::unresponsive;
         reply(std::move(unanswered));
--- a/tests/standins/stage_server_standin.hpp
+++ b/tests/standins/stage_server_standin.hpp
@@ -33,6 +33,9 @@
     void shed_next(unsigned calls) { calls_to_shed_ = calls; }
     void hang_next(unsigned calls) { calls_to_hang_ = calls; }
 
+    /// Returns the number of calls left unanswered.
+    unsigned hung() const { return hung_calls_; }
+
     /// Makes the next items fail with a reason.
     void fail_next(unsigned items, const std::string& reason);
 
@@ -65,6 +68,7 @@
     unsigned result_count_ = 0;
     std::atomic<unsigned> calls_to_shed_{0};
     std::atomic<unsigned> calls_to_hang_{0};
+    std::atomic<unsigned> hung_calls_{0};
     std::atomic<bool> full_{false};
     unsigned items_to_fail_ = 0;
     std::string fail_reason_;
--- a/tests/unit/stage_queue_test.cpp
+++ b/tests/unit/stage_queue_test.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(memory_of_untracked_results_becomes_free);
     CPPUNIT_TEST(late_requests_yield_to_full_batches);
     CPPUNIT_TEST(failed_servers_are_ejected);
+    CPPUNIT_TEST(a_silence_does_not_make_a_server_slow);
     CPPUNIT_TEST(a_burst_fills_calls_with_items_in_time);
     CPPUNIT_TEST(another_zone_is_chosen_only_at_lower_cost);
     CPPUNIT_TEST_SUITE_END();
@@ -246,6 +247,14 @@
 
     /// Arrivals are twice the capacity of the server. The items finished in
     /// time should come close to the throughput of full batches.
+    void a_silence_does_not_make_a_server_slow()
+    {
+        stage_queue queue(parameters());
+        const auto now = boot_clock::now();
+        queue.call_ended(4, 0, milliseconds(1400), call_outcome::answered, now);
+        CPPUNIT_ASSERT_EQUAL(1.0, queue.load_report(now).slowdown);
+    }
+
     void a_burst_fills_calls_with_items_in_time()
     {
         stage_queue queue(parameters());
