Release results again when their server was silent

Callers saw: nothing directly; results that a silent server was to release kept its memory for their whole lifetime, and items waited for that memory.

Cause: a release was sent once, and the connect gave up after 0.3 s.

Evidence: stage_caller_test::results_are_released_after_a_silence failed before (no release in 2.5 s after a silence of 1.2 s began) and passes.

Why the fix works: a release without an answer is sent again every 0.5 s, four times at most, while the server is listed. Releasing a result twice does no harm.

--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -22,6 +22,11 @@
 constexpr milliseconds release_batch_delay{10};
 constexpr milliseconds release_timeout{1000};
 
+/// A release without an answer is repeated, since the server may be silent. It
+/// expires the results by itself in the end.
+constexpr int max_release_calls = 4;
+constexpr milliseconds release_retry_delay{500};
+
 /// A sound server may be silent for this much longer than a call takes.
 constexpr milliseconds silence_allowance{1500};
 
@@ -459,17 +464,26 @@
     co_await pause(io_, release_batch_delay);
     entry.release_scheduled = false;
     const auto handles = std::exchange(entry.results_to_free, {});
-    const auto server = entry.server;
-    if (!server)
+    bool released = false;
+    for (int i = 0; i < max_release_calls && !released; ++i)
     {
-        co_return;
+        if (i > 0)
+        {
+            co_await pause(io_, release_retry_delay);
+        }
+        const auto server = entry.server;
+        if (!server)
+        {
+            co_return; // the results were lost with their server
+        }
+        text_request request = protocol_.release_call(*server, handles);
+        const auto answer =
+            co_await calls_.call(server, std::move(request), release_timeout);
+        released = answer.has_value();
     }
-    text_request request = protocol_.release_call(*server, handles);
-    const auto answer =
-        co_await calls_.call(server, std::move(request), release_timeout);
-    if (!answer)
+    if (!released)
     {
-        co_return; // the server expires results that are not released
+        co_return;
     }
     for (const auto& handle : handles)
     {
--- a/tests/platform/stage_caller_test.cpp
+++ b/tests/platform/stage_caller_test.cpp
@@ -75,10 +75,15 @@
         }
     }
 
-    void run_until_idle()
+    void run_until_idle(milliseconds time = milliseconds(200))
     {
         io_.restart();
-        io_.run_for(milliseconds(200));
+        io_.run_for(time);
+    }
+
+    void release_result(const std::string& handle)
+    {
+        caller_.enqueue_release("encode-1", {handle});
     }
 
     bool busy() const { return caller_.busy(); }
@@ -117,6 +122,7 @@
     CPPUNIT_TEST_SUITE(stage_caller_test);
     CPPUNIT_TEST(a_server_is_removed_while_a_call_begins);
     CPPUNIT_TEST(a_late_copy_of_an_answer_is_no_result);
+    CPPUNIT_TEST(results_are_released_after_a_silence);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -163,6 +169,22 @@
                     CPPUNIT_ASSERT(second->handle.empty());
                 });
     }
+
+    void results_are_released_after_a_silence()
+    {
+        std::atomic<unsigned> releases{0};
+        standin_server server(
+            [&](const text_request& request, const standin_server::reply& reply)
+            {
+                releases += request.target() == "/v1/stage-free" ? 1 : 0;
+                reply(scripted_answer::of(200, ""));
+            });
+        caller_of_one_server calls(server.address());
+        server.fall_silent(milliseconds(1200));
+        calls.release_result("127.0.0.1:1/1");
+        calls.run_until_idle(milliseconds(2500));
+        CPPUNIT_ASSERT_EQUAL(1U, releases.load());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(stage_caller_test);
