--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -96,7 +96,9 @@
     received_.push_back(record);
     if (!expected)
     {
-        reply(scripted_answer::of(421, "", {"X-Instance-Id: " + id_}));
+        reply(scripted_answer::of(421, "",
+                                  {"X-Instance-Id: " + id_, "X-Not-Executed: 1",
+                                   "X-Attempt-Id: " + record.id}));
         return;
     }
     if (engine_ && fault == backend_fault::none)
