Split the test of power lost everywhere into its parts

Callers saw: nothing; clang-tidy found the test's function too long (readability-function-size). Its steps are functions of their own now, with the same checks; power_loss_test passes.

--- a/tests/platform/power_loss_test.cpp
+++ b/tests/platform/power_loss_test.cpp
@@ -67,11 +67,7 @@
                 });
         std::vector<std::thread> cut_off = begin_orders(cluster, dark, moved);
 
-        cluster.store().set_mode(store_mode::unresponsive);
-        for (std::size_t i = 0; i < gateway_count; ++i)
-        {
-            cluster.gateway(i).process().signal(SIGKILL);
-        }
+        kill_all(cluster);
         for (auto* server : {&dark, &moved, &engine})
         {
             server->server().fall_silent(gone);
@@ -88,6 +84,46 @@
         new_engine.set_stream(2, milliseconds(1));
         // One of the new servers has the address of one that is gone.
         cluster.set_address("desk-2", new_desk.address());
+        const unsigned served = start_and_send(cluster);
+        section("all is served again within seconds",
+                [&] {
+                    CPPUNIT_ASSERT_EQUAL(
+                        unsigned(gateway_count * std::size(paths)), served);
+                });
+        section("no request ran twice, none with the key taken away",
+                [&]
+                {
+                    const auto runs = count_runs(
+                        {&dark, &moved, &engine, &new_desk, &new_engine});
+                    for (const auto& [id, count] : runs)
+                    {
+                        CPPUNIT_ASSERT_MESSAGE(id, count <= 1);
+                    }
+                    CPPUNIT_ASSERT(runs.contains("order-0"));
+                    for (const auto& request : new_desk.received())
+                    {
+                        CPPUNIT_ASSERT(!request.id.starts_with("revoked"));
+                    }
+                });
+    }
+
+private:
+    static constexpr const char* paths[] = {"/status/x", "/orders/x",
+                                            "/talk/x"};
+
+    static void kill_all(test_cluster& cluster)
+    {
+        cluster.store().set_mode(store_mode::unresponsive);
+        for (std::size_t i = 0; i < gateway_count; ++i)
+        {
+            cluster.gateway(i).process().signal(SIGKILL);
+        }
+    }
+
+    /// Starts the gateways while the store returns, and sends requests of all
+    /// kinds to each until they are served. Returns how many were in time.
+    static unsigned start_and_send(test_cluster& cluster)
+    {
         for (std::size_t i = 0; i < gateway_count; ++i)
         {
             cluster.gateway(i).process().wait(milliseconds(10'000));
@@ -131,40 +167,22 @@
             caller.join();
         }
         store.join();
-        section("all is served again within seconds",
-                [&]
-                {
-                    CPPUNIT_ASSERT_EQUAL(
-                        unsigned(gateway_count * std::size(paths)),
-                        served.load());
-                });
-        section("no request ran twice, none with the key taken away",
-                [&]
-                {
-                    std::map<std::string, unsigned> runs;
-                    for (const auto* server :
-                         {&dark, &moved, &engine, &new_desk, &new_engine})
-                    {
-                        for (const auto& request : server->received())
-                        {
-                            runs[request.id] += request.ran ? 1 : 0;
-                        }
-                    }
-                    for (const auto& [id, count] : runs)
-                    {
-                        CPPUNIT_ASSERT_MESSAGE(id, count <= 1);
-                    }
-                    CPPUNIT_ASSERT(runs.contains("order-0"));
-                    for (const auto& request : new_desk.received())
-                    {
-                        CPPUNIT_ASSERT(!request.id.starts_with("revoked"));
-                    }
-                });
+        return served;
     }
 
-private:
-    static constexpr const char* paths[] = {"/status/x", "/orders/x",
-                                            "/talk/x"};
+    static std::map<std::string, unsigned>
+    count_runs(const std::vector<const backend_standin*>& servers)
+    {
+        std::map<std::string, unsigned> runs;
+        for (const auto* server : servers)
+        {
+            for (const auto& request : server->received())
+            {
+                runs[request.id] += request.ran ? 1 : 0;
+            }
+        }
+        return runs;
+    }
 
     static void configure(test_cluster& cluster)
     {
