--- a/src/connection/attempt_sender.cpp
+++ b/src/connection/attempt_sender.cpp
@@ -85,8 +85,13 @@
                                                         std::move(exchange));
         }
         ++unsent;
-        tried_servers_.push_back(server->id);
-        log_.push_back(server->id + " unreachable");
+        // A sound server that is silent accepts connections again soon.
+        const bool silent = lease.error == asio::error::timed_out;
+        if (!silent || has_untried_server(server->id))
+        {
+            tried_servers_.push_back(server->id);
+        }
+        log_.push_back(server->id + (silent ? " silent" : " unreachable"));
         // A limit of this process says nothing about the server.
         const auto outcome = lease.error == asio::error::no_buffer_space
                                  ? send_outcome::cancelled
@@ -96,6 +101,14 @@
     co_return nullptr;
 }
 
+void attempt_sender::return_unsent(const forward_attempt& attempt)
+{
+    const std::string& id = attempt.server()->id;
+    context_.state.balancer().send_ended(id, send_outcome::cancelled, {},
+                                         boot_clock::now());
+    context_.connections.release(id, attempt.exchange()->connection(), {});
+}
+
 void attempt_sender::count(const forward_attempt& attempt)
 {
     tried_servers_.push_back(attempt.server()->id);
@@ -133,23 +146,28 @@
 
 bool attempt_sender::may_send_elsewhere() const
 {
-    const auto& servers = context_.state.directory().servers(accepted_.service);
-    const auto now = boot_clock::now();
-    const bool has_server = std::any_of(
-        servers.begin(), servers.end(),
-        [this, now](const auto& server)
-        {
-            return std::find(tried_servers_.begin(), tried_servers_.end(),
-                             server->id) == tried_servers_.end() &&
-                   !context_.state.holds().is_held(*server, now);
-        });
-    return has_server && accepted_.route->is_retryable() &&
+    return has_untried_server({}) && accepted_.route->is_retryable() &&
            sends_ < accepted_.route->max_attempts &&
            time_left() > min_time_left &&
            context_.state.retry_budget_of(accepted_.service)
                .available(boot_clock::now());
 }
 
+bool attempt_sender::has_untried_server(const std::string& except) const
+{
+    const auto& servers = context_.state.directory().servers(accepted_.service);
+    const auto now = boot_clock::now();
+    return std::any_of(servers.begin(), servers.end(),
+                       [&](const auto& server)
+                       {
+                           return server->id != except &&
+                                  std::find(tried_servers_.begin(),
+                                            tried_servers_.end(), server->id) ==
+                                      tried_servers_.end() &&
+                                  !context_.state.holds().is_held(*server, now);
+                       });
+}
+
 std::string attempt_sender::log_text() const
 {
     return absl::StrJoin(log_, "; ");
--- a/src/connection/attempt_sender.hpp
+++ b/src/connection/attempt_sender.hpp
@@ -39,6 +39,9 @@
     asio::awaitable<attempt_pointer> next(const request_stages* stages,
                                           std::function<bool()> wanted);
 
+    /// Returns the connection of an attempt that will not be sent.
+    void return_unsent(const forward_attempt& attempt);
+
     /// Counts an attempt that is about to be sent.
     void count(const forward_attempt& attempt);
 
@@ -67,6 +70,7 @@
                                  const request_stages* stages);
     text_request backend_request(const backend_server& server,
                                  const request_stages* stages) const;
+    bool has_untried_server(const std::string& except) const;
     milliseconds time_left() const;
 
     gateway_context& context_;
--- a/src/connection/backend_connection.hpp
+++ b/src/connection/backend_connection.hpp
@@ -3,6 +3,8 @@
 #include "base/clock.hpp"
 #include "connection/asio_types.hpp"
 
+#include <optional>
+
 namespace mangolink
 {
 
@@ -25,6 +27,13 @@
     /// Closes the socket and aborts pending operations.
     void close();
 
+    /// Keep-alive time that the server stated last, if any.
+    const std::optional<milliseconds>& keep_alive() const
+    {
+        return keep_alive_;
+    }
+    void set_keep_alive(milliseconds time) { keep_alive_ = time; }
+
     tcp::socket& socket() { return socket_; }
     boost::beast::flat_buffer& buffer() { return buffer_; }
 
@@ -32,6 +41,7 @@
     asio::io_context& context_;
     tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
+    std::optional<milliseconds> keep_alive_;
 };
 
 } // namespace mangolink
--- a/src/connection/backend_pool.cpp
+++ b/src/connection/backend_pool.cpp
@@ -83,8 +83,12 @@
                            connection_pointer connection,
                            std::optional<milliseconds> keep_alive)
 {
+    if (keep_alive)
+    {
+        connection->set_keep_alive(*keep_alive);
+    }
     const milliseconds idle =
-        keep_alive.value_or(default_idle) - idle_limit_margin;
+        connection->keep_alive().value_or(default_idle) - idle_limit_margin;
     if (idle > milliseconds(0))
     {
         idle_[server].push_back(
--- a/src/connection/backend_pool.hpp
+++ b/src/connection/backend_pool.hpp
@@ -51,8 +51,9 @@
     asio::awaitable<lease> acquire(std::shared_ptr<const backend_server> server,
                                    milliseconds limit);
 
-    /// Keeps a connection for reuse for the server's keep-alive time, or for a
-    /// default time if the server stated none.
+    /// Keeps a connection for reuse for the server's keep-alive time, by
+    /// default the one stated last on it, or for a default time if there is
+    /// none.
     void release(const std::string& server, connection_pointer connection,
                  std::optional<milliseconds> keep_alive);
 
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -389,9 +389,7 @@
 forward_run::send_elsewhere(standby_attempt& standby,
                             std::shared_ptr<request_stages> stages)
 {
-    if (standby.stopped() || !sender_->may_send_elsewhere() ||
-        !context_.state.retry_budget_of(accepted_.service)
-             .try_acquire(boot_clock::now()))
+    if (standby.stopped() || !sender_->may_send_elsewhere())
     {
         co_return nullptr;
     }
@@ -402,6 +400,12 @@
     {
         co_return nullptr;
     }
+    if (!context_.state.retry_budget_of(accepted_.service)
+             .try_acquire(boot_clock::now()))
+    {
+        sender_->return_unsent(*attempt);
+        co_return nullptr;
+    }
     standby.hold(attempt->exchange());
     sender_->count(*attempt);
     attempt_limits own_limits = limits();
