Tell callers for how long a kept connection can be used

Nothing had told them the limit.

Evidence: the new section of a_raised_idle_limit_holds_for_open_connections fails on the code before and passes.

Why it works: an answer that keeps the connection says Keep-Alive: timeout=N, a second less than the idle limit, so no request crosses the close.

--- a/src/connection/caller_session.cpp
+++ b/src/connection/caller_session.cpp
@@ -23,6 +23,10 @@
 /// Timeout of a write; a caller that does not read is disconnected.
 constexpr milliseconds write_timeout{5000};
 
+/// Callers are told to stop using an idle connection this much before it is
+/// closed, so that no request crosses the close.
+constexpr milliseconds idle_announcement_margin{1000};
+
 /// Idle limit of a connection whose first request will be refused.
 constexpr milliseconds refused_idle_limit{2000};
 
@@ -102,8 +106,7 @@
 asio::awaitable<bool> caller_session::write_response(text_response response)
 {
     response.version(11);
-    announced_keep_alive_ = keeps_open();
-    response.keep_alive(announced_keep_alive_);
+    announce_keep_alive(response);
     response.prepare_payload();
     error_code error;
     const scoped_timeout timeout(context_.io, write_timeout,
@@ -117,8 +120,7 @@
     http::response<http::empty_body> response(std::move(head));
     response.version(11);
     keep_alive_ = keep_alive_ && chunked_;
-    announced_keep_alive_ = keeps_open();
-    response.keep_alive(announced_keep_alive_);
+    announce_keep_alive(response);
     response.chunked(chunked_);
     http::response_serializer<http::empty_body> serializer(response);
     error_code error;
@@ -344,6 +346,20 @@
                {{"reason", reason}, {"peer", peer_name(socket_)}});
 }
 
+template <class Message>
+void caller_session::announce_keep_alive(Message& response)
+{
+    announced_keep_alive_ = keeps_open();
+    response.keep_alive(announced_keep_alive_);
+    const auto usable = std::chrono::floor<std::chrono::seconds>(
+        context_.limits().idle_timeout - idle_announcement_margin);
+    if (announced_keep_alive_ && usable.count() > 0)
+    {
+        response.set(http::field::keep_alive,
+                     "timeout=" + std::to_string(usable.count()));
+    }
+}
+
 bool caller_session::keeps_open() const
 {
     return keep_alive_ && !closed_ && !context_.stopping;
--- a/src/connection/caller_session.hpp
+++ b/src/connection/caller_session.hpp
@@ -47,6 +47,10 @@
     asio::awaitable<void>
     watch_for_disconnect(std::shared_ptr<forward_run> run);
     asio::awaitable<void> linger_and_close();
+    /// Sets the headers that tell the caller whether and for how long it can
+    /// use the connection.
+    template <class Message>
+    void announce_keep_alive(Message& response);
     bool keeps_open() const;
 
     /// Closes the connection after a failed write. Returns whether it
--- a/tests/platform/forwarding_test.cpp
+++ b/tests/platform/forwarding_test.cpp
@@ -260,6 +260,11 @@
                         caller.send_request(cluster.request("/orders/x", "r2"));
                     CPPUNIT_ASSERT(answer);
                     CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+                    section("it announces an end before that limit",
+                            [&] {
+                                CPPUNIT_ASSERT((*answer)["Keep-Alive"] ==
+                                               "timeout=4");
+                            });
                 });
         section("an idle connection is closed after the new limit", [&]
                 { CPPUNIT_ASSERT(caller.closes_within(milliseconds(6000))); });
