Make the stages of a standby again when their results are gone

Cause: a standby that begins before the first event uses the results of the request's own stages.

Evidence: a_standby_without_stage_results_makes_them_again failed before (2 items made, 4 are due) and passes; silence_test 14 of 14.

Why it works: after such a refusal the standby's tries make stages of their own, as they do for a begun stream.

--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -366,11 +366,12 @@
     {
         co_return nullptr;
     }
-    if (!stages_ || !stream_->begun())
+    // The results are released when the stream begins.
+    const bool has_results = !stream_->begun() && !standby.inputs_gone();
+    if (!stages_ || has_results)
     {
         co_return co_await send_elsewhere(standby, stages_);
     }
-    // The results were released when the stream began.
     const auto stages = make_stages();
     standby.hold(stages);
     attempt_pointer attempt;
@@ -425,6 +426,10 @@
     }
     // Its connection may be in use by another request from now on.
     standby.hold(std::shared_ptr<backend_exchange>());
+    if (attempt->end() == attempt_outcome::inputs_gone)
+    {
+        standby.set_inputs_gone();
+    }
     sender_->record(*attempt, standby.stopped());
     co_return nullptr;
 }
--- a/tests/platform/silence_test.cpp
+++ b/tests/platform/silence_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(a_server_that_stays_silent_is_replaced);
     CPPUNIT_TEST(a_refused_standby_leaves_its_connection_to_others);
     CPPUNIT_TEST(stages_are_not_repeated_when_nothing_can_be_sent);
+    CPPUNIT_TEST(a_standby_without_stage_results_makes_them_again);
     CPPUNIT_TEST(a_silent_standby_is_replaced);
     CPPUNIT_TEST(a_stream_is_not_cut_when_the_standby_breaks_after_its_head);
     CPPUNIT_TEST(a_request_is_not_refused_by_its_only_servers_silence);
@@ -234,6 +235,36 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2 * 2), stage.received().size());
     }
 
+    void a_standby_without_stage_results_makes_them_again()
+    {
+        test_cluster cluster;
+        auto& one = cluster.add_backend("engine", "engine-1");
+        auto& two = cluster.add_backend("engine", "engine-2");
+        auto& stage =
+            cluster.add_stage_server("encode", "encode-1", milliseconds(20));
+        add_stage(cluster, add_streaming_route(cluster));
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        for (auto* engine : {&one, &two})
+        {
+            engine->set_stream(4, milliseconds(1));
+            engine->add_faults({backend_fault::hang});
+        }
+        std::thread during_silence(
+            [&]
+            {
+                bench::wait_until([&] { return runs(one, two) > 0; });
+                auto& other = one.run_count("r") > 0 ? two : one;
+                other.clear_faults();
+                other.add_faults({backend_fault::inputs_gone});
+            });
+        test_caller caller(gateway.callers());
+        const auto answer = caller.send_request(staged(cluster));
+        during_silence.join();
+        assert_events(answer, 4);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2 * 2), stage.received().size());
+    }
+
     void a_silent_standby_is_replaced()
     {
         test_cluster cluster;
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -98,7 +98,8 @@
     }
     const auto fault = next_fault();
     const bool expected = request["X-Expect-Instance"] == id_;
-    record.ran = expected && fault != backend_fault::shed;
+    record.ran = expected && fault != backend_fault::shed &&
+                 fault != backend_fault::inputs_gone;
     received_.push_back(record);
     if (!expected)
     {
@@ -163,6 +164,9 @@
                       { return header.starts_with("X-Response-Seal"); });
         headers.emplace_back("X-Not-Executed: 1");
         return scripted_answer::of(503, "", headers);
+    case backend_fault::inputs_gone:
+        return scripted_answer::of(
+            409, "", {"X-Not-Executed: 1", "X-Attempt-Id: " + id});
     case backend_fault::failure:
         return scripted_answer::of(500, "failed", headers);
     case backend_fault::unproven_refusal:
