--- a/src/connection/update_follower.cpp
+++ b/src/connection/update_follower.cpp
@@ -43,7 +43,7 @@
                                  backend_caller calls,
                                  metrics_registry& metrics)
     : io_(io), state_(state), updater_(updater), peers_(peers),
-      activation_(activation), calls_(calls),
+      activation_(activation), calls_(std::move(calls)),
       succeeded_(metrics.counter("mangolink_updates_total", "how=\"taken\"")),
       failed_(metrics.counter("mangolink_updates_total", "how=\"failed\""))
 {
--- a/tests/platform/forwarding_test.cpp
+++ b/tests/platform/forwarding_test.cpp
@@ -279,6 +279,7 @@
         // Each share of the descriptors is a whole number.
         auto& gateway = cluster.start_gateway("max_descriptors = 100\n");
         std::vector<std::unique_ptr<test_caller>> idle;
+        idle.reserve(60);
         for (int i = 0; i < 60; ++i)
         {
             idle.push_back(std::make_unique<test_caller>(gateway.callers()));
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -141,6 +141,33 @@
     answer.end = answer_end::unresponsive;
 }
 
+void backend_standin::make_endless(scripted_answer& answer, backend_fault fault,
+                                   const std::string& head,
+                                   const std::string& unframed)
+{
+    switch (fault)
+    {
+    case backend_fault::endless_head:
+        answer.parts.front().bytes = "HTTP/1.1 200 OK\r\n";
+        add_endless(answer, "X-Filler: 0123456789\r\n");
+        break;
+    case backend_fault::endless_body:
+        answer.parts.front().bytes = unframed;
+        add_endless(answer, "filler ");
+        break;
+    case backend_fault::endless_event:
+        answer.parts.front().bytes = head;
+        add_endless(answer, encode_chunk("data: filler"));
+        break;
+    case backend_fault::endless_chunk:
+        answer.parts.front().bytes = head + "5;";
+        add_endless(answer, "filler=");
+        break;
+    default:
+        break;
+    }
+}
+
 scripted_answer backend_standin::answer(const text_request& request,
                                         backend_fault fault)
 {
@@ -206,21 +233,8 @@
         complete.parts.resize(60, {encode_chunk("i"), milliseconds(100)});
         complete.end = answer_end::unresponsive;
         break;
-    case backend_fault::endless_head:
-        bytes = "HTTP/1.1 200 OK\r\n";
-        add_endless(complete, "X-Filler: 0123456789\r\n");
-        break;
-    case backend_fault::endless_body:
-        bytes = unframed;
-        add_endless(complete, "filler ");
-        break;
-    case backend_fault::endless_event:
-        bytes = stream_head(id);
-        add_endless(complete, encode_chunk("data: filler"));
-        break;
-    case backend_fault::endless_chunk:
-        bytes = stream_head(id) + "5;";
-        add_endless(complete, "filler=");
+    default:
+        make_endless(complete, fault, stream_head(id), unframed);
         break;
     }
     return complete;
--- a/tests/standins/backend_standin.hpp
+++ b/tests/standins/backend_standin.hpp
@@ -104,6 +104,12 @@
     scripted_answer answer(const text_request& request, backend_fault fault);
     scripted_answer stream(const text_request& request);
 
+    /// Turns an answer into one of the endless faults. `head`: of a stream;
+    /// `unframed`: an answer without length.
+    static void make_endless(scripted_answer& answer, backend_fault fault,
+                             const std::string& head,
+                             const std::string& unframed);
+
     /// Adds more bytes than a caller may accept.
     static void add_endless(scripted_answer& answer, const std::string& filler);
     std::string stream_head(const std::string& request) const;
