--- a/tests/support/test_caller.cpp
+++ b/tests/support/test_caller.cpp
@@ -60,7 +60,12 @@
                        { readable_now = true; });
     io_.restart();
     io_.run_for(limit);
-    return readable_now && peer_has_closed(socket_);
+    const bool closed = readable_now && peer_has_closed(socket_);
+    error_code ignored; // ends a wait that refers to this function
+    socket_.cancel(ignored);
+    io_.restart();
+    io_.poll();
+    return closed;
 }
 
 void test_caller::close()
