--- a/src/connection/attempt_sender.cpp
+++ b/src/connection/attempt_sender.cpp
@@ -24,7 +24,7 @@
 /// accept queue drops the first packet.
 constexpr milliseconds connect_limit{700};
 
-/// Number of failed connects after which a request fails.
+/// Number of failed connects after which the search for a server ends.
 constexpr std::uint32_t max_connect_failures = 4;
 
 } // namespace
