Own the test tree also when known faults are left out

With an entry in KNOWN-RED.txt the leaves of the test tree were given to a TestRunner, which owns what it is given, and the suites above them to nobody; with an empty list, as in all runs before, the whole tree was given away.

The tree now has one owner and the tests are run from it in place, with or without a list, so that both cases take the same path.

--- a/tests/support/test_main.cpp
+++ b/tests/support/test_main.cpp
@@ -2,14 +2,15 @@
 
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
+#include <cppunit/Test.h>
 #include <cppunit/TestResult.h>
 #include <cppunit/TestResultCollector.h>
-#include <cppunit/TestRunner.h>
 #include <cppunit/extensions/TestFactoryRegistry.h>
 #include <curl/curl.h>
 
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <set>
 #include <string>
 
@@ -32,21 +33,22 @@
     return names;
 }
 
-/// Adds all tests below `test` to the runner, except those in the list.
-void add_tests(CppUnit::Test& test, const std::set<std::string>& known_red,
-               CppUnit::TestRunner& runner)
+/// Runs all tests below `test`, except those in the list.
+void run_tests(CppUnit::Test& test, const std::set<std::string>& known_red,
+               CppUnit::TestResult& events)
 {
     if (known_red.contains(test.getName()))
     {
         std::cout << "known red, not run: " << test.getName() << "\n";
+        return;
     }
-    else if (test.getChildTestCount() == 0)
+    if (test.getChildTestCount() == 0)
     {
-        runner.addTest(&test);
+        test.run(&events);
     }
     for (int i = 0; i < test.getChildTestCount(); ++i)
     {
-        add_tests(*test.getChildTestAt(i), known_red, runner);
+        run_tests(*test.getChildTestAt(i), known_red, events);
     }
 }
 
@@ -75,17 +77,9 @@
     CppUnit::BriefTestProgressListener progress;
     events.addListener(&results);
     events.addListener(&progress);
-    CppUnit::TestRunner runner;
-    auto* all = CppUnit::TestFactoryRegistry::getRegistry().makeTest();
-    if (known_red.empty())
-    {
-        runner.addTest(all);
-    }
-    else
-    {
-        add_tests(*all, known_red, runner);
-    }
-    runner.run(events, name);
+    const std::unique_ptr<CppUnit::Test> all(
+        CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+    run_tests(name.empty() ? *all : *all->findTest(name), known_red, events);
     CppUnit::CompilerOutputter(&results, std::cerr).write();
     const bool ran = results.runTests() > 0;
     std::cout << results.runTests() - results.testFailuresTotal() << " passed, "
