Suspect no owner of stage servers because a task's own time is over

What callers saw: nothing at once. A task for another gateway's stage servers ends with the deadline of its request, which a slow pool may reach. Its sender then took the missing answer for a silent owner: it suspected that gateway, sent the task to the next one, and sent the tasks of other requests there as well, until the next heartbeat.

Cause: send_task() did not tell a call that was ended by the task's own deadline from one without an answer.

The items now end as late, and the owner keeps its place. The call's limit is rounded up, as one that ended a fraction of a millisecond before the deadline would still pass for silence.

Before: an_owner_is_not_suspected_when_the_time_of_a_task_is_over failed at "the owner stays the owner" (no owner left). After: stage_dispatcher_test 3 of 3.

--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -23,6 +23,15 @@
 constexpr milliseconds release_batch_delay{10};
 constexpr milliseconds release_timeout{1000};
 
+void end_items(const stage_task& task, stage_item_outcome outcome)
+{
+    const auto client = task.client.lock();
+    for (const auto item : client ? task.items : std::vector<std::uint32_t>())
+    {
+        client->item_ended({task.stage, item}, {outcome, {}});
+    }
+}
+
 } // namespace
 
 stage_dispatcher::stage_dispatcher(asio::io_context& io,
@@ -56,13 +65,7 @@
                              boot_clock::now());
     if (!server)
     {
-        const auto client = task->client.lock();
-        for (const auto item :
-             client ? task->items : std::vector<std::uint32_t>())
-        {
-            client->item_ended({task->stage, item},
-                               {stage_item_outcome::failed, {}});
-        }
+        end_items(*task, stage_item_outcome::failed);
         return;
     }
     const peer* owner = owner_of(*server);
@@ -183,8 +186,8 @@
 stage_dispatcher::send_task(std::shared_ptr<const stage_task> task,
                             server_pointer server, peer owner)
 {
-    const auto limit = std::chrono::duration_cast<milliseconds>(
-        task->deadline - boot_clock::now());
+    const auto limit =
+        std::chrono::ceil<milliseconds>(task->deadline - boot_clock::now());
     text_request request = peer_request(
         owner, task_path, encode_task(*task, server->id, boot_clock::now()));
     auto to = to_backend_server(owner);
@@ -197,6 +200,11 @@
     {
         co_return;
     }
+    if (boot_clock::now() >= task->deadline)
+    {
+        end_items(*task, stage_item_outcome::late);
+        co_return;
+    }
     metrics_.counter("mangolink_orders_taken_over_total").add();
     log_warning("stage", "Task sent again: the owner does not respond.",
                 {{"id", task->request_id},
--- a/tests/platform/stage_dispatcher_test.cpp
+++ b/tests/platform/stage_dispatcher_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST_SUITE(stage_dispatcher_test);
     CPPUNIT_TEST(a_slow_owner_keeps_its_task);
     CPPUNIT_TEST(an_unreachable_owner_is_replaced_by_the_next_one);
+    CPPUNIT_TEST(an_owner_is_not_suspected_when_the_time_of_a_task_is_over);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -100,6 +101,26 @@
                 });
     }
 
+    void an_owner_is_not_suspected_when_the_time_of_a_task_is_over()
+    {
+        add_stage_server();
+        hear_from("gateway-1", owner_.address());
+        run_task(milliseconds(300));
+        section("the items are late",
+                [&]
+                {
+                    CPPUNIT_ASSERT(client_->outcomes ==
+                                   std::vector{stage_item_outcome::late});
+                });
+        section("the owner stays the owner",
+                [&]
+                {
+                    const auto* owner = peers_.owner_of("encode", "zone-a");
+                    CPPUNIT_ASSERT(owner != nullptr);
+                    CPPUNIT_ASSERT_EQUAL(std::string("gateway-1"), owner->name);
+                });
+    }
+
 private:
     void hear_from(const std::string& name, const socket_address& address)
     {
@@ -109,14 +130,14 @@
     }
 
     /// Submits a task of one item and waits for its outcome.
-    void run_task()
+    void run_task(milliseconds time_left = milliseconds(5000))
     {
         auto task = std::make_shared<stage_task>();
         task->client = client_;
         task->request_id = "r1";
         task->service = "encode";
         task->items = {0};
-        task->deadline = boot_clock::now() + milliseconds(5000);
+        task->deadline = boot_clock::now() + time_left;
         task->due = task->deadline;
         dispatcher_.submit(task);
         const auto begin = boot_clock::now();
