--- a/bench/lab/child_process.cpp
+++ b/bench/lab/child_process.cpp
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdint>
+#include <fstream>
 #include <stdexcept>
 #include <utility>
 
@@ -75,6 +77,22 @@
     return !reap(false);
 }
 
+bool child_process::handles(int number) const
+{
+    std::ifstream status("/proc/" + std::to_string(id_) + "/status");
+    std::uint64_t handled = 0;
+    for (std::string line; std::getline(status, line);)
+    {
+        if (line.starts_with("SigBlk:") || line.starts_with("SigIgn:") ||
+            line.starts_with("SigCgt:"))
+        {
+            handled |=
+                std::stoull(line.substr(line.find(':') + 1), nullptr, 16);
+        }
+    }
+    return (handled >> (number - 1) & 1) != 0;
+}
+
 bool child_process::reap(bool block)
 {
     int status = 0;
--- a/bench/lab/child_process.hpp
+++ b/bench/lab/child_process.hpp
@@ -33,6 +33,10 @@
 
     bool running();
 
+    /// Returns whether the program has arranged for a signal: blocks, catches
+    /// or ignores it. False until its code runs.
+    bool handles(int number) const;
+
 private:
     bool reap(bool block);
 
--- a/tests/platform/stop_test.cpp
+++ b/tests/platform/stop_test.cpp
@@ -1,7 +1,11 @@
 #include "support/section.hpp"
 #include "support/test_cluster.hpp"
 
+#include <sys/stat.h>
+
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <thread>
 
 namespace mangolink::test
@@ -15,6 +19,7 @@
     CPPUNIT_TEST(a_connection_kept_open_across_a_stop_is_answered);
     CPPUNIT_TEST(late_requests_are_refused_not_cut_off);
     CPPUNIT_TEST(reload_keeps_serving);
+    CPPUNIT_TEST(a_reload_during_the_start_ends_no_process);
     CPPUNIT_TEST(all_killed_at_once_serve_again);
     CPPUNIT_TEST(invalid_settings_are_reported);
     CPPUNIT_TEST_SUITE_END();
@@ -170,6 +175,45 @@
         CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
     }
 
+    void a_reload_during_the_start_ends_no_process()
+    {
+        test_cluster cluster;
+        prepare(cluster);
+        auto& gateway = cluster.start_gateway();
+        gateway.process().signal(SIGKILL);
+        gateway.process().wait(milliseconds(10'000));
+        // The process reads its settings until the writer closes the pipe.
+        const std::string& path = gateway.settings_path();
+        const std::string kept = path + ".kept";
+        std::filesystem::rename(path, kept);
+        CPPUNIT_ASSERT_EQUAL(0, ::mkfifo(path.c_str(), 0600));
+        gateway.start();
+        std::ofstream settings(path);
+        gateway.process().signal(SIGHUP);
+        section("the process survives the signal",
+                [&]
+                {
+                    std::this_thread::sleep_for(milliseconds(200));
+                    CPPUNIT_ASSERT(gateway.process().running());
+                });
+        settings << std::ifstream(kept).rdbuf();
+        std::filesystem::rename(kept, path);
+        settings.close();
+        section("it serves, and reads its settings again",
+                [&]
+                {
+                    CPPUNIT_ASSERT(
+                        bench::wait_until([&] { return gateway.ready(); }));
+                    CPPUNIT_ASSERT(bench::wait_until(
+                        [&]
+                        {
+                            return gateway.log_text().find(
+                                       "Settings read again") !=
+                                   std::string::npos;
+                        }));
+                });
+    }
+
     void all_killed_at_once_serve_again()
     {
         test_cluster cluster;
--- a/tests/support/test_cluster.hpp
+++ b/tests/support/test_cluster.hpp
@@ -43,6 +43,8 @@
     /// Returns the contents of the log.
     std::string log_text() const;
 
+    const std::string& settings_path() const { return settings_path_; }
+
     bench::child_process& process() { return *process_; }
 
     /// Starts the process, again after it has exited, at the same address.
