Accept the waiting connections before a stop closes the socket

What callers saw: at a planned stop, under load, connections that were established but not yet accepted were reset, with a request in them, while refusals would have told them to come back.

Cause: closing a listening socket resets what waits in its queue. A process that gets a fifth of a core, or wakes from a pause, finds connections in the queue and the time of the close in the same moment; the accept loop takes one, then the socket is closed.

The queue is now emptied before the close, and the time in which requests are read and refused counts from the close, not from when it was due.

connections_waiting_for_acceptance_are_not_reset_by_a_stop pauses the process across the close with six callers waiting. Before: the first got no answer. After: each gets 503.

--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -1,10 +1,9 @@
-#include "connection/gateway_server.hpp"
-
 #include "base/log.hpp"
 #include "base/socket_address.hpp"
 #include "connection/caller_session.hpp"
 #include "connection/failure_log.hpp"
 #include "connection/forward_protocol.hpp"
+#include "connection/gateway_server.hpp"
 #include "connection/listening_socket.hpp"
 #include "connection/peer_heartbeats.hpp"
 #include "connection/peer_server.hpp"
@@ -230,17 +229,24 @@
 
 void gateway_server::close_caller_acceptor()
 {
-    error_code ignored; // new connections are refused in either case
-    caller_acceptor_->close(ignored);
+    // Closing the socket resets the connections that wait for acceptance.
+    error_code error;
+    caller_acceptor_->non_blocking(true, error);
+    while (!error)
+    {
+        tcp::socket socket(io_);
+        caller_acceptor_->accept(socket, error);
+        if (!error)
+        {
+            serve_caller(std::move(socket));
+        }
+    }
+    caller_acceptor_->close(error); // new connections are refused either way
 }
 
 asio::awaitable<void>
 gateway_server::accept_loop(std::shared_ptr<tcp::acceptor> acceptor)
 {
-    const auto max_open_callers = static_cast<std::size_t>(
-        caller_descriptor_share * settings_.max_descriptors);
-    const auto max_refused_callers = static_cast<std::size_t>(
-        refused_descriptor_share * settings_.max_descriptors);
     while (acceptor->is_open())
     {
         error_code error;
@@ -257,24 +263,33 @@
             co_await pause(io_, accept_retry_delay);
             continue;
         }
-        const bool refused = context_.open_callers >= max_open_callers;
-        if (refused)
-        {
-            metrics_.counter("mangolink_callers_turned_away_total").add();
-            log_warning("gateway", "Caller turned away.",
-                        {{"open", std::to_string(context_.open_callers)}});
-        }
-        if (context_.open_callers >= max_refused_callers)
-        {
-            continue;
-        }
-        auto session = std::make_shared<caller_session>(
-            context_, std::move(socket), refused);
-        // The lambda owns the session until the coroutine has ended.
-        asio::co_spawn(
-            io_, [session] { return session->run(); },
-            failure_log("caller connection"));
+        serve_caller(std::move(socket));
+    }
+}
+
+void gateway_server::serve_caller(tcp::socket socket)
+{
+    const auto max_open_callers = static_cast<std::size_t>(
+        caller_descriptor_share * settings_.max_descriptors);
+    const auto max_refused_callers = static_cast<std::size_t>(
+        refused_descriptor_share * settings_.max_descriptors);
+    const bool refused = context_.open_callers >= max_open_callers;
+    if (refused)
+    {
+        metrics_.counter("mangolink_callers_turned_away_total").add();
+        log_warning("gateway", "Caller turned away.",
+                    {{"open", std::to_string(context_.open_callers)}});
     }
+    if (context_.open_callers >= max_refused_callers)
+    {
+        return;
+    }
+    auto session =
+        std::make_shared<caller_session>(context_, std::move(socket), refused);
+    // The lambda owns the session until the coroutine has ended.
+    asio::co_spawn(
+        io_, [session] { return session->run(); },
+        failure_log("caller connection"));
 }
 
 void gateway_server::open_auxiliary_listener(const std::string& address,
@@ -418,7 +433,7 @@
         heartbeats_->send_to_all();
     }
     const auto rejection_start = start_time + balancer_removal_delay;
-    const auto earliest_end = rejection_start + rejection_time;
+    auto earliest_end = rejection_start + rejection_time;
     const auto latest_end = start_time + settings_.stop_limit - stop_reserve;
     auto now = start_time;
     while (now < latest_end &&
@@ -431,6 +446,7 @@
             // A request that starts now could not end before the limit.
             context_.rejecting_requests = true;
             close_caller_acceptor();
+            earliest_end = now + rejection_time;
         }
     }
     all_requests_ended_ = context_.open_requests == 0;
--- a/src/connection/gateway_server.hpp
+++ b/src/connection/gateway_server.hpp
@@ -65,6 +65,7 @@
     void accept_callers();
     void close_caller_acceptor();
     asio::awaitable<void> accept_loop(std::shared_ptr<tcp::acceptor> acceptor);
+    void serve_caller(tcp::socket socket);
     asio::awaitable<void>
     accept_auxiliary(std::shared_ptr<tcp::acceptor> acceptor, handler handle);
     asio::awaitable<void> serve_auxiliary_connection(tcp::socket socket,
--- a/tests/platform/stop_test.cpp
+++ b/tests/platform/stop_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(a_stop_cuts_no_request);
     CPPUNIT_TEST(a_connection_kept_open_across_a_stop_is_answered);
     CPPUNIT_TEST(late_requests_are_refused_not_cut_off);
+    CPPUNIT_TEST(connections_waiting_for_acceptance_are_not_reset_by_a_stop);
     CPPUNIT_TEST(reload_keeps_serving);
     CPPUNIT_TEST(a_reload_during_the_start_ends_no_process);
     CPPUNIT_TEST(all_killed_at_once_serve_again);
@@ -156,6 +157,35 @@
         CPPUNIT_ASSERT_EQUAL(callers, served + refused + unread);
     }
 
+    void connections_waiting_for_acceptance_are_not_reset_by_a_stop()
+    {
+        test_cluster cluster;
+        prepare(cluster);
+        auto& gateway = cluster.start_gateway();
+        gateway.process().signal(SIGTERM);
+        // The process sleeps while it should close its listening socket.
+        std::this_thread::sleep_for(milliseconds(2400));
+        gateway.process().signal(SIGSTOP);
+        std::vector<std::unique_ptr<test_caller>> callers;
+        std::vector<std::optional<text_response>> answers;
+        for (int i = 0; i < 6; ++i)
+        {
+            callers.push_back(std::make_unique<test_caller>(gateway.callers()));
+        }
+        std::this_thread::sleep_for(milliseconds(400));
+        gateway.process().signal(SIGCONT);
+        for (auto& caller : callers)
+        {
+            answers.push_back(
+                caller->send_request(cluster.request("/orders/x", "waiting")));
+        }
+        for (const auto& answer : answers)
+        {
+            CPPUNIT_ASSERT(answer);
+            CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+        }
+    }
+
     void reload_keeps_serving()
     {
         test_cluster cluster;
