Answer the requests that are open at the limit of a stop

What callers saw: a request still open 0.3 s before the limit of a stop was cut without an answer, also one that waited for its stages and had been sent to no server; the log had no line for it, only a count.

Cause: the stop ended the event loop under them. They are now told that the limit is reached and end as they do at their deadline: refused with 503 if it is proven that they have not run, failed with 502 if they may have, begun streams cut, each with its line and the reason "stop limit". They have 150 ms for it, so the process still ends before the limit.

Before: open_requests_are_answered_at_the_stop_limit failed, no answer to either request. After: 502 for the one that was sent, 503 for the one in its stages, a line for both; stop_test 9 of 9.

--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -44,13 +44,13 @@
 {
     accepted_.arrival = arrival;
     accepted_.deadline = arrival;
-    ++context_.open_requests;
+    context_.open_requests.insert(this);
     context_.body_bytes += request_.body().size();
 }
 
 forward_run::~forward_run()
 {
-    --context_.open_requests;
+    context_.open_requests.erase(this);
     context_.body_bytes -= request_.body().size();
 }
 
@@ -123,6 +123,19 @@
     stop_waiting();
 }
 
+void forward_run::stop_limit_reached()
+{
+    stop_limit_reached_ = true;
+    stop_waiting();
+}
+
+std::string forward_run::reason_of_end(std::string otherwise) const
+{
+    return stop_limit_reached_ ? "stop limit"
+           : timed_out_        ? "deadline"
+                               : std::move(otherwise);
+}
+
 void forward_run::stop_waiting()
 {
     if (stages_)
@@ -180,7 +193,8 @@
     {
         co_return true;
     }
-    std::string reason = stages_->failure();
+    std::string reason =
+        stop_limit_reached_ ? reason_of_end({}) : stages_->failure();
     if (caller_gone_)
     {
         end(0, "caller left during stages");
@@ -205,7 +219,7 @@
 asio::awaitable<void> forward_run::send_until_answered()
 {
     const std::function<bool()> still_wanted = [this]
-    { return !caller_gone_ && !timed_out_; };
+    { return !caller_gone_ && !timed_out_ && !stop_limit_reached_; };
     bool continues = true;
     attempt_pointer standby;
     while (continues)
@@ -246,7 +260,8 @@
     {
         refusal details{http::status::service_unavailable, "no server",
                         retry_soon};
-        details.reason = last != nullptr ? "server refused" : details.reason;
+        details.reason =
+            reason_of_end(last != nullptr ? "server refused" : details.reason);
         const auto hold = context_.state.holds().remaining_of_all(
             context_.state.directory().servers(accepted_.service),
             boot_clock::now());
@@ -256,12 +271,12 @@
     }
     case next_step::fail:
     {
-        std::string reason = timed_out_ ? "deadline" : "no complete answer";
+        std::string reason = reason_of_end("no complete answer");
         co_await fail(std::move(reason));
         break;
     }
     case next_step::cut:
-        cut(timed_out_ ? "deadline" : "stream broke off");
+        cut(reason_of_end("stream broke off"));
         break;
     case next_step::retry:
     case next_step::resume:
@@ -284,8 +299,8 @@
     progress.sends = sender_->sends();
     progress.may_have_run = sender_->may_have_run();
     progress.answer_begun = stream_->begun();
-    progress.time_left =
-        last != nullptr && !timed_out_ && time_left() > min_time_left;
+    progress.time_left = last != nullptr && !timed_out_ &&
+                         !stop_limit_reached_ && time_left() > min_time_left;
     progress.server_failure = last != nullptr && last->server_failure();
     const auto end = last != nullptr ? last->end() : attempt_outcome::unsent;
     const auto step = decide_next(*accepted_.route, end, progress, true);
@@ -443,7 +458,7 @@
         co_return nullptr;
     }
     attempt_pointer attempt;
-    if (last.has_answer() || caller_gone_ || timed_out_)
+    if (last.has_answer() || caller_gone_ || timed_out_ || stop_limit_reached_)
     {
         standby->stop();
         attempt = standby->take();
--- a/src/connection/forward_run.hpp
+++ b/src/connection/forward_run.hpp
@@ -44,6 +44,9 @@
     /// Cancels all work after the caller closed the connection.
     void caller_left();
 
+    /// Ends the request, as the process has no time left to complete it.
+    void stop_limit_reached();
+
     /// Returns whether the request has ended.
     bool ended() const { return ended_; }
 
@@ -70,6 +73,9 @@
     milliseconds time_left() const;
     void stop_waiting();
 
+    /// Returns why this process ended the request, or `otherwise`.
+    std::string reason_of_end(std::string otherwise) const;
+
     asio::awaitable<void> deliver(forward_attempt& attempt);
     asio::awaitable<void> refuse(refusal details);
     asio::awaitable<void> fail(std::string reason);
@@ -91,6 +97,7 @@
     bool inputs_gone_ = false;
     bool caller_gone_ = false;
     bool timed_out_ = false;
+    bool stop_limit_reached_ = false;
     bool ended_ = false;
 };
 
--- a/src/connection/gateway_context.hpp
+++ b/src/connection/gateway_context.hpp
@@ -5,11 +5,13 @@
 #include "version/gateway_configuration.hpp"
 
 #include <cstddef>
+#include <set>
 
 namespace mangolink
 {
 
 class backend_pool;
+class forward_run;
 class forward_protocol;
 class gateway_state;
 class metrics_registry;
@@ -31,7 +33,7 @@
     bool stopping = false;
     bool rejecting_requests = false; ///< stopping; new requests are rejected
     std::size_t open_callers = 0;
-    std::size_t open_requests = 0;
+    std::set<forward_run*> open_requests = {};
     std::uint64_t body_bytes = 0; ///< total body size of open requests
 
     /// Returns the current limits for callers.
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -1,9 +1,11 @@
+#include "connection/gateway_server.hpp"
+
 #include "base/log.hpp"
 #include "base/socket_address.hpp"
 #include "connection/caller_session.hpp"
 #include "connection/failure_log.hpp"
 #include "connection/forward_protocol.hpp"
-#include "connection/gateway_server.hpp"
+#include "connection/forward_run.hpp"
 #include "connection/listening_socket.hpp"
 #include "connection/peer_heartbeats.hpp"
 #include "connection/peer_server.hpp"
@@ -44,8 +46,11 @@
 /// are still read and refused.
 constexpr milliseconds rejection_time{300};
 
-/// Requests that are still open this long before the stop limit are aborted.
+/// Requests that are still open this long before the stop limit are ended, and
+/// the time their last answers have to leave.
 constexpr milliseconds stop_reserve{300};
+constexpr milliseconds last_answers_time{150};
+constexpr milliseconds last_answers_interval{10};
 
 /// Share of the file descriptors that callers' connections may use, and the
 /// share up to which further ones get a refusal before they are closed.
@@ -123,8 +128,9 @@
                                 { return operators_response(request); });
     }
     start_peer_services();
-    metrics_.gauge("mangolink_open_requests", [this]
-                   { return static_cast<double>(context_.open_requests); });
+    metrics_.gauge(
+        "mangolink_open_requests",
+        [this] { return static_cast<double>(context_.open_requests.size()); });
     metrics_.gauge(
         "mangolink_processor_seconds",
         [] { return static_cast<double>(std::clock()) / CLOCKS_PER_SEC; });
@@ -165,8 +171,9 @@
                 {"zone", settings_.zone},
                 {"store", settings_.store_address}});
     io_.run();
-    log_notice("gateway", "Stopped.",
-               {{"open_requests", std::to_string(context_.open_requests)}});
+    log_notice(
+        "gateway", "Stopped.",
+        {{"open_requests", std::to_string(context_.open_requests.size())}});
     return all_requests_ended_;
 }
 
@@ -393,7 +400,7 @@
                           {"reads_platform", reader_activation_.is_active()},
                           {"backend_servers", state_.directory().size()},
                           {"peers", peers_.size()},
-                          {"open_requests", context_.open_requests},
+                          {"open_requests", context_.open_requests.size()},
                           {"open_callers", context_.open_callers}};
     return status.dump(2) + "\n";
 }
@@ -424,9 +431,10 @@
 asio::awaitable<void> gateway_server::stop()
 {
     const auto start_time = boot_clock::now();
-    log_notice("gateway", "Stopping.",
-               {{"open_requests", std::to_string(context_.open_requests)},
-                {"limit_ms", std::to_string(settings_.stop_limit.count())}});
+    log_notice(
+        "gateway", "Stopping.",
+        {{"open_requests", std::to_string(context_.open_requests.size())},
+         {"limit_ms", std::to_string(settings_.stop_limit.count())}});
     peers_.stop();
     if (heartbeats_)
     {
@@ -437,7 +445,8 @@
     const auto latest_end = start_time + settings_.stop_limit - stop_reserve;
     auto now = start_time;
     while (now < latest_end &&
-           (now < earliest_end || context_.open_requests > 0 || stages_.busy()))
+           (now < earliest_end || !context_.open_requests.empty() ||
+            stages_.busy()))
     {
         co_await pause(io_, periodic_interval / 5);
         now = boot_clock::now();
@@ -449,7 +458,17 @@
             earliest_end = now + rejection_time;
         }
     }
-    all_requests_ended_ = context_.open_requests == 0;
+    all_requests_ended_ = context_.open_requests.empty();
+    for (auto* request : context_.open_requests)
+    {
+        request->stop_limit_reached();
+    }
+    while (!context_.open_requests.empty() &&
+           now < latest_end + last_answers_time)
+    {
+        co_await pause(io_, last_answers_interval);
+        now = boot_clock::now();
+    }
     io_.stop();
 }
 
--- a/tests/platform/stop_test.cpp
+++ b/tests/platform/stop_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(a_connection_kept_open_across_a_stop_is_answered);
     CPPUNIT_TEST(late_requests_are_refused_not_cut_off);
     CPPUNIT_TEST(connections_waiting_for_acceptance_are_not_reset_by_a_stop);
+    CPPUNIT_TEST(open_requests_are_answered_at_the_stop_limit);
     CPPUNIT_TEST(reload_keeps_serving);
     CPPUNIT_TEST(a_reload_during_the_start_ends_no_process);
     CPPUNIT_TEST(all_killed_at_once_serve_again);
@@ -186,6 +187,79 @@
         }
     }
 
+    void open_requests_are_answered_at_the_stop_limit()
+    {
+        test_cluster cluster;
+        auto& server = cluster.add_backend("desk", "desk-1");
+        auto& stage =
+            cluster.add_stage_server("encode", "encode-1", milliseconds(20));
+        cluster.add_stage_pool("encode");
+        cluster.add_route("/orders/", "non_idempotent", "desk");
+        cluster.add_route("/staged/", "idempotent", "desk")["phases"] = {
+            {{"service", "encode"},
+             {"after", nlohmann::json::array()},
+             {"length", 1000}}};
+        for (auto& route : cluster.configuration()["routes"])
+        {
+            route["timeoutMs"] = 9000;
+        }
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        server.add_faults({backend_fault::hang});
+        stage.hang_next(100);
+        std::optional<text_response> sent;
+        std::optional<text_response> unsent;
+        std::thread order(
+            [&]
+            {
+                test_caller caller(gateway.callers());
+                sent = caller.send_request(
+                    cluster.request("/orders/x", "sent", milliseconds(9000)));
+            });
+        std::thread staged(
+            [&]
+            {
+                auto request =
+                    cluster.request("/staged/x", "unsent", milliseconds(9000));
+                request.set("X-Chunk-Count", "2");
+                request.set("X-Chunk-Key", "key");
+                test_caller caller(gateway.callers());
+                unsent = caller.send_request(request);
+            });
+        bench::wait_until(
+            [&] { return server.run_count("sent") + stage.hung() > 1; });
+        gateway.process().signal(SIGTERM);
+        order.join();
+        staged.join();
+        section("one that may have run has failed",
+                [&]
+                {
+                    CPPUNIT_ASSERT(sent);
+                    CPPUNIT_ASSERT_EQUAL(502U, sent->result_int());
+                });
+        section("one that has not run is refused",
+                [&]
+                {
+                    CPPUNIT_ASSERT(unsent);
+                    CPPUNIT_ASSERT_EQUAL(503U, unsent->result_int());
+                });
+        section(
+            "the log tells the reason for both",
+            [&]
+            {
+                gateway.process().wait(milliseconds(10'000));
+                const auto log = gateway.log_text();
+                for (const std::string id : {"sent", "unsent"})
+                {
+                    const auto line =
+                        log.substr(log.find("Ended. id=\"" + id + "\""));
+                    CPPUNIT_ASSERT(
+                        line.substr(0, line.find('\n')).find("stop limit") !=
+                        std::string::npos);
+                }
+            });
+    }
+
     void reload_keeps_serving()
     {
         test_cluster cluster;
