--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "base/socket_address.hpp"
+#include "connection/auxiliary_listener.hpp"
 #include "connection/caller_session.hpp"
 #include "connection/failure_log.hpp"
 #include "connection/forward_protocol.hpp"
@@ -9,11 +10,8 @@
 #include "connection/listening_socket.hpp"
 #include "connection/peer_heartbeats.hpp"
 #include "connection/peer_server.hpp"
-#include "connection/scoped_timeout.hpp"
 #include "connection/update_follower.hpp"
 
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
@@ -35,9 +33,6 @@
 /// Holds a few seconds of log lines while the reader of stdout is stalled.
 constexpr std::size_t log_capacity = 1024 * 1024;
 
-/// Idle timeout of connections from the load balancer and from operators.
-constexpr milliseconds auxiliary_idle_timeout{30'000};
-
 /// The load balancer probes readiness once a second and removes an instance
 /// after two failures. Connections that it opens before that are still served.
 constexpr milliseconds balancer_removal_delay{2600};
@@ -67,11 +62,9 @@
     return *result;
 }
 
-std::shared_ptr<tcp::acceptor> open_acceptor(asio::io_context& io,
-                                             const std::string& address)
+tcp::acceptor open_acceptor(asio::io_context& io, const std::string& address)
 {
-    return std::make_shared<tcp::acceptor>(
-        open_listening_socket(io, parse_address(address)));
+    return open_listening_socket(io, parse_address(address));
 }
 
 /// Returns the description of this process for its peers. Without a peer
@@ -118,14 +111,16 @@
       dropped_log_lines_(metrics_.counter("mangolink_log_lines_dropped_total"))
 {
     accept_callers();
-    open_auxiliary_listener(settings_.readiness_address,
-                            [this](const text_request& request)
-                            { return readiness_response(request); });
+    balancer_listener_ = std::make_unique<auxiliary_listener>(
+        io_, open_acceptor(io_, settings_.readiness_address),
+        [this](const text_request& request)
+        { return readiness_response(request); });
     if (!settings_.operator_address.empty())
     {
-        open_auxiliary_listener(settings_.operator_address,
-                                [this](const text_request& request)
-                                { return operators_response(request); });
+        operator_listener_ = std::make_unique<auxiliary_listener>(
+            io_, open_acceptor(io_, settings_.operator_address),
+            [this](const text_request& request)
+            { return operators_response(request); });
     }
     start_peer_services();
     metrics_.gauge(
@@ -229,7 +224,8 @@
 
 void gateway_server::accept_callers()
 {
-    caller_acceptor_ = open_acceptor(io_, settings_.caller_address);
+    caller_acceptor_ = std::make_shared<tcp::acceptor>(
+        open_acceptor(io_, settings_.caller_address));
     asio::co_spawn(io_, accept_loop(caller_acceptor_),
                    failure_log("accept loop"));
 }
@@ -299,61 +295,6 @@
         failure_log("caller connection"));
 }
 
-void gateway_server::open_auxiliary_listener(const std::string& address,
-                                             handler handle)
-{
-    asio::co_spawn(
-        io_, accept_auxiliary(open_acceptor(io_, address), std::move(handle)),
-        failure_log("auxiliary accept loop"));
-}
-
-asio::awaitable<void>
-gateway_server::accept_auxiliary(std::shared_ptr<tcp::acceptor> acceptor,
-                                 handler handle)
-{
-    while (true)
-    {
-        error_code error;
-        tcp::socket socket(io_);
-        co_await acceptor->async_accept(socket, redirect_to(error));
-        if (!error)
-        {
-            asio::co_spawn(
-                io_, serve_auxiliary_connection(std::move(socket), handle),
-                failure_log("auxiliary connection"));
-        }
-    }
-}
-
-asio::awaitable<void>
-gateway_server::serve_auxiliary_connection(tcp::socket socket, handler handle)
-{
-    boost::beast::flat_buffer buffer;
-    error_code error;
-    bool open = true;
-    while (open && !error)
-    {
-        const scoped_timeout timeout(
-            io_, auxiliary_idle_timeout,
-            [&socket]
-            {
-                error_code ignored; // the read below then fails
-                socket.close(ignored);
-            });
-        text_request request;
-        co_await http::async_read(socket, buffer, request, redirect_to(error));
-        if (error)
-        {
-            break;
-        }
-        text_response response = handle(request);
-        response.keep_alive(request.keep_alive());
-        response.prepare_payload();
-        open = response.keep_alive();
-        co_await http::async_write(socket, response, redirect_to(error));
-    }
-}
-
 text_response
 gateway_server::readiness_response(const text_request& request) const
 {
--- a/src/connection/gateway_server.hpp
+++ b/src/connection/gateway_server.hpp
@@ -23,6 +23,7 @@
 namespace mangolink
 {
 
+class auxiliary_listener;
 class peer_server;
 class peer_heartbeats;
 class update_follower;
@@ -55,8 +56,6 @@
     bool run();
 
 private:
-    using handler = std::function<text_response(const text_request&)>;
-
     std::size_t connection_limit(const backend_server& server);
     void remove_server(const std::string& server);
     void on_answer(const backend_server& server,
@@ -66,11 +65,6 @@
     void close_caller_acceptor();
     asio::awaitable<void> accept_loop(std::shared_ptr<tcp::acceptor> acceptor);
     void serve_caller(tcp::socket socket);
-    asio::awaitable<void>
-    accept_auxiliary(std::shared_ptr<tcp::acceptor> acceptor, handler handle);
-    asio::awaitable<void> serve_auxiliary_connection(tcp::socket socket,
-                                                     handler handle);
-    void open_auxiliary_listener(const std::string& address, handler handle);
     text_response readiness_response(const text_request& request) const;
     text_response operators_response(const text_request& request) const;
     std::string status_text() const;
@@ -94,6 +88,8 @@
     gateway_state_updater updater_;
     gateway_context context_;
     std::shared_ptr<tcp::acceptor> caller_acceptor_;
+    std::unique_ptr<auxiliary_listener> balancer_listener_;
+    std::unique_ptr<auxiliary_listener> operator_listener_;
     store_reader_activation reader_activation_;
     update_source updates_;
     std::unique_ptr<update_follower> update_follower_;
