Move the sending of one call of a stage server to a class

Sending a call, and ending it when it is overdue and another server can take its place, needs nothing of the queues; it takes the question for another server through its constructor.

--- /dev/null
+++ b/src/connection/stage_call_sender.cpp
@@ -0,0 +1,92 @@
+#include "connection/stage_call_sender.hpp"
+
+#include "connection/backend_caller.hpp"
+#include "connection/backend_exchange.hpp"
+#include "connection/failure_log.hpp"
+#include "connection/forward_protocol.hpp"
+#include "connection/listening_socket.hpp"
+#include "request/stage_queue.hpp"
+
+namespace mangolink
+{
+namespace
+{
+
+/// A sound server may be silent for this much longer than a call takes.
+constexpr milliseconds silence_allowance{1500};
+
+/// Interval at which another server is sought for an overdue call.
+constexpr milliseconds overdue_interval{50};
+
+} // namespace
+
+stage_call_sender::stage_call_sender(asio::io_context& io,
+                                     const forward_protocol& protocol,
+                                     backend_caller& calls,
+                                     alternative_check has_alternative)
+    : io_(io), protocol_(protocol), calls_(calls),
+      has_alternative_(std::move(has_alternative))
+{
+}
+
+asio::awaitable<stage_call_result>
+stage_call_sender::send(server_pointer server,
+                        const std::vector<waiting_item>& items,
+                        milliseconds limit)
+{
+    std::vector<stage_call_item> call_items;
+    const auto now = boot_clock::now();
+    for (const auto& item : items)
+    {
+        const auto& task = *item.task;
+        call_items.push_back(
+            {task.request_id,
+             {task.stage, item.index},
+             std::chrono::duration_cast<milliseconds>(task.deadline - now),
+             task.item_key,
+             task.inputs});
+    }
+    stage_call_result result;
+    text_request request = protocol_.stage_call(*server, call_items);
+    const auto running = std::make_shared<std::weak_ptr<backend_exchange>>();
+    asio::co_spawn(io_, replace_overdue(running, server, limit),
+                   failure_log("overdue stage call"));
+    error_code connect_error;
+    const auto answer = co_await calls_.call(server, std::move(request),
+                                             limit + silence_allowance,
+                                             running.get(), &connect_error);
+    running->reset(); // the connection may be used by another call by now
+    if (!answer)
+    {
+        result.unconnected = connect_error == asio::error::timed_out;
+        co_return result;
+    }
+    result.shed = protocol_.read_answer(*answer).proven_not_run;
+    if (answer->result() == http::status::ok)
+    {
+        result.items =
+            protocol_.read_stage_answer(answer->body(), call_items.size());
+    }
+    result.answered = result.shed || !result.items.empty();
+    co_return result;
+}
+
+asio::awaitable<void> stage_call_sender::replace_overdue(
+    std::shared_ptr<std::weak_ptr<backend_exchange>> running,
+    server_pointer server, milliseconds limit)
+{
+    co_await pause(io_, limit);
+    auto exchange = running->lock();
+    while (exchange && !has_alternative_(*server))
+    {
+        exchange.reset(); // its owner ends it
+        co_await pause(io_, overdue_interval);
+        exchange = running->lock();
+    }
+    if (exchange)
+    {
+        exchange->abort();
+    }
+}
+
+} // namespace mangolink
--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -3,7 +3,6 @@
 #include "base/log.hpp"
 #include "base/metrics.hpp"
 #include "connection/backend_caller.hpp"
-#include "connection/backend_exchange.hpp"
 #include "connection/failure_log.hpp"
 #include "connection/forward_protocol.hpp"
 #include "connection/listening_socket.hpp"
@@ -27,12 +26,6 @@
 constexpr int max_release_calls = 4;
 constexpr milliseconds release_retry_delay{500};
 
-/// A sound server may be silent for this much longer than a call takes.
-constexpr milliseconds silence_allowance{1500};
-
-/// Interval at which another server is sought for an overdue call.
-constexpr milliseconds overdue_interval{50};
-
 /// Delay before the query, so that the server's report, which lags slightly,
 /// includes releases in flight.
 constexpr milliseconds memory_query_delay{100};
@@ -48,7 +41,10 @@
                            backend_caller& calls, metrics_registry& metrics,
                            result_release release)
     : io_(io), protocol_(protocol), state_(state), router_(router),
-      calls_(calls), metrics_(metrics), release_(std::move(release))
+      calls_(calls), metrics_(metrics), release_(std::move(release)),
+      sender_(io, protocol, calls,
+              [this](const backend_server& server)
+              { return has_alternative(server); })
 {
 }
 
@@ -285,10 +281,10 @@
 {
     const auto start_time = boot_clock::now();
     const auto limit = entry.queue.call_timeout(items.size());
-    call_result result;
+    stage_call_result result;
     try
     {
-        result = co_await exchange(server, items, limit);
+        result = co_await sender_.send(server, items, limit);
     }
     catch (...) // the call counts as lost, so that the server's queue goes on
     {
@@ -328,7 +324,7 @@
 }
 
 bool stage_caller::repeats_results(server_entry& entry,
-                                   const call_result& result)
+                                   const stage_call_result& result)
 {
     return std::any_of(result.items.begin(), result.items.end(),
                        [&entry](const stage_item_answer& answer)
@@ -338,69 +334,9 @@
                        });
 }
 
-asio::awaitable<stage_caller::call_result>
-stage_caller::exchange(server_pointer server,
-                       const std::vector<waiting_item>& items,
-                       milliseconds limit)
-{
-    std::vector<stage_call_item> call_items;
-    const auto now = boot_clock::now();
-    for (const auto& item : items)
-    {
-        const auto& task = *item.task;
-        call_items.push_back(
-            {task.request_id,
-             {task.stage, item.index},
-             std::chrono::duration_cast<milliseconds>(task.deadline - now),
-             task.item_key,
-             task.inputs});
-    }
-    call_result result;
-    text_request request = protocol_.stage_call(*server, call_items);
-    const auto running = std::make_shared<std::weak_ptr<backend_exchange>>();
-    asio::co_spawn(io_, replace_overdue(running, server, limit),
-                   failure_log("overdue stage call"));
-    error_code connect_error;
-    const auto answer = co_await calls_.call(server, std::move(request),
-                                             limit + silence_allowance,
-                                             running.get(), &connect_error);
-    running->reset(); // the connection may be used by another call by now
-    if (!answer)
-    {
-        result.unconnected = connect_error == asio::error::timed_out;
-        co_return result;
-    }
-    result.shed = protocol_.read_answer(*answer).proven_not_run;
-    if (answer->result() == http::status::ok)
-    {
-        result.items =
-            protocol_.read_stage_answer(answer->body(), call_items.size());
-    }
-    result.answered = result.shed || !result.items.empty();
-    co_return result;
-}
-
-asio::awaitable<void> stage_caller::replace_overdue(
-    std::shared_ptr<std::weak_ptr<backend_exchange>> running,
-    server_pointer server, milliseconds limit)
-{
-    co_await pause(io_, limit);
-    auto exchange = running->lock();
-    while (exchange && !has_alternative(*server))
-    {
-        exchange.reset(); // its owner ends it
-        co_await pause(io_, overdue_interval);
-        exchange = running->lock();
-    }
-    if (exchange)
-    {
-        exchange->abort();
-    }
-}
-
 void stage_caller::complete_items(server_entry& entry,
                                   const std::vector<waiting_item>& items,
-                                  const call_result& result)
+                                  const stage_call_result& result)
 {
     static constexpr const char* names[] = {"made",    "late",   "no_input",
                                             "no_room", "failed", "unsent"};
@@ -459,7 +395,8 @@
 }
 
 void stage_caller::log_call(const server_entry& entry, std::size_t items,
-                            milliseconds duration, const call_result& result)
+                            milliseconds duration,
+                            const stage_call_result& result)
 {
     const std::string service = entry.server ? entry.server->service : "";
     const std::string label = "service=\"" + service + "\"";
--- a/src/connection/stage_caller.hpp
+++ b/src/connection/stage_caller.hpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.hpp"
 #include "connection/asio_types.hpp"
+#include "connection/stage_call_sender.hpp"
 #include "process/backend_server.hpp"
 #include "request/stage_queue.hpp"
 #include "request/stage_task.hpp"
@@ -18,7 +19,6 @@
 {
 
 class backend_caller;
-class backend_exchange;
 class forward_protocol;
 class gateway_state;
 class metrics_registry;
@@ -89,14 +89,6 @@
         /// Returns whether the server is removed and the entry unreferenced.
         bool is_removable() const;
     };
-    struct call_result final
-    {
-        bool answered = false; ///< executed or refused
-        bool shed = false;
-        bool unconnected = false; ///< the server accepted no connection in time
-        std::vector<stage_item_answer> items;
-    };
-
     using server_pointer = std::shared_ptr<const backend_server>;
 
     server_entry* find_or_add_entry(const std::string& server);
@@ -119,19 +111,13 @@
                                     std::vector<waiting_item> items);
 
     /// Returns whether the answer of a call has results of an earlier one.
-    static bool repeats_results(server_entry& entry, const call_result& result);
-    asio::awaitable<call_result>
-    exchange(server_pointer server, const std::vector<waiting_item>& items,
-             milliseconds limit);
-    /// Ends a call that is overdue as soon as another server can be used.
-    asio::awaitable<void>
-    replace_overdue(std::shared_ptr<std::weak_ptr<backend_exchange>> running,
-                    server_pointer server, milliseconds limit);
+    static bool repeats_results(server_entry& entry,
+                                const stage_call_result& result);
     void complete_items(server_entry& entry,
                         const std::vector<waiting_item>& items,
-                        const call_result& result);
+                        const stage_call_result& result);
     void log_call(const server_entry& entry, std::size_t items,
-                  milliseconds duration, const call_result& result);
+                  milliseconds duration, const stage_call_result& result);
     asio::awaitable<void> release_results(server_entry& entry);
     asio::awaitable<void> query_free_memory(server_entry& entry);
 
@@ -142,6 +128,7 @@
     backend_caller& calls_;
     metrics_registry& metrics_;
     result_release release_;
+    stage_call_sender sender_;
     absl::flat_hash_map<std::string, std::unique_ptr<server_entry>> entries_;
 };
 
