Separate the answers of a request from its course

Writing the final answer and its record moves to request_responder, the times after which a server counts as silent to attempt_limits.

--- a/src/connection/forward_attempt.hpp
+++ b/src/connection/forward_attempt.hpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.hpp"
 #include "connection/asio_types.hpp"
+#include "connection/attempt_limits.hpp"
 #include "request/attempt_policy.hpp"
 #include "request/direct_balancer.hpp"
 
@@ -16,16 +17,6 @@
 class stream_forwarder;
 struct backend_server;
 
-/// When the server of an attempt counts as silent, and what follows. Silence
-/// does not end the attempt: a sound server may go on.
-struct attempt_limits final
-{
-    milliseconds first_byte{0};
-    milliseconds between_events{0}; ///< between two complete events
-    std::function<void()> on_silence;
-    std::function<void()> on_progress; ///< the server goes on
-};
-
 /// Sends a request to a backend server once and classifies the outcome. Used by
 /// one thread.
 class forward_attempt final
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -3,7 +3,6 @@
 #include "connection/backend_exchange.hpp"
 #include "connection/failure_log.hpp"
 #include "connection/gateway_context.hpp"
-#include "connection/http_headers.hpp"
 #include "connection/request_check.hpp"
 #include "connection/request_record.hpp"
 #include "connection/request_stages.hpp"
@@ -13,8 +12,6 @@
 #include "roles/gateway_settings.hpp"
 #include "roles/gateway_state.hpp"
 
-#include <absl/strings/str_format.h>
-
 #include <algorithm>
 
 namespace mangolink
@@ -26,21 +23,13 @@
 /// the server sends at the deadline is still delivered.
 constexpr milliseconds deadline_grace{60};
 
-/// Share of the time left after which a server that has sent no byte counts as
-/// silent, and the lower limits of that time.
-constexpr double first_attempt_share = 0.45;
-constexpr milliseconds min_first_byte_wait{300};
-constexpr milliseconds min_stream_wait{1500};
-
-/// The server of a stream counts as silent after a gap of this multiple of the
-/// route's gap objective.
-constexpr int max_gap_factor = 3;
-
 } // namespace
 
 forward_run::forward_run(gateway_context& context, response_writer& channel,
                          text_request request, boot_clock::time_point arrival)
-    : context_(context), channel_(channel), request_(std::move(request))
+    : context_(context), channel_(channel), request_(std::move(request)),
+      responder_(context, channel, accepted_,
+                 [this](request_end& end) { describe(end); })
 {
     accepted_.arrival = arrival;
     accepted_.deadline = arrival;
@@ -74,17 +63,17 @@
     current_ = nullptr; // destroyed by the exception
     stop_waiting();
     standby_.reset(); // refers to this object
-    if (ended_)
+    if (responder_.ended())
     {
         channel_.cut();
     }
     else if (stream_ && stream_->begun())
     {
-        cut("internal failure");
+        responder_.cut("internal failure");
     }
     else
     {
-        co_await fail("internal failure");
+        co_await responder_.fail(failure_status(), "internal failure");
     }
 }
 
@@ -95,7 +84,7 @@
     accepted_ = check.result();
     if (details)
     {
-        co_await refuse(std::move(*details));
+        co_await responder_.refuse(std::move(*details));
         co_return;
     }
     stream_.emplace(channel_, context_.protocol, accepted_.metadata.last_event);
@@ -129,6 +118,18 @@
     stop_waiting();
 }
 
+void forward_run::describe(request_end& end) const
+{
+    end.attempts = sender_ ? sender_->log_text() : "";
+    end.stages = stages_ ? std::optional(stages_->time()) : std::nullopt;
+}
+
+http::status forward_run::failure_status() const
+{
+    return timed_out_ ? http::status::gateway_timeout
+                      : http::status::bad_gateway;
+}
+
 std::string forward_run::reason_of_end(std::string otherwise) const
 {
     return stop_limit_reached_ ? "stop limit"
@@ -197,21 +198,21 @@
         stop_limit_reached_ ? reason_of_end({}) : stages_->failure();
     if (caller_gone_)
     {
-        end(0, "caller left during stages");
+        responder_.end(0, "caller left during stages");
     }
     else if (stream_->begun())
     {
-        cut(reason);
+        responder_.cut(reason);
     }
     else if (sender_->may_have_run())
     {
-        co_await fail(std::move(reason));
+        co_await responder_.fail(failure_status(), std::move(reason));
     }
     else
     {
         refusal details{http::status::service_unavailable, std::move(reason),
                         retry_soon};
-        co_await refuse(std::move(details));
+        co_await responder_.refuse(std::move(details));
     }
     co_return false;
 }
@@ -240,7 +241,7 @@
         }
         if (caller_gone_)
         {
-            end(0, "caller left");
+            responder_.end(0, "caller left");
             co_return;
         }
         const auto step = choose_next_step(attempt.get());
@@ -254,7 +255,7 @@
     switch (step)
     {
     case next_step::deliver:
-        co_await deliver(*last);
+        co_await responder_.deliver(*last, stream_->begun());
         break;
     case next_step::refuse:
     {
@@ -266,17 +267,17 @@
             context_.state.directory().servers(accepted_.service),
             boot_clock::now());
         details.retry_delay = std::max(retry_soon, hold.value_or(retry_soon));
-        co_await refuse(std::move(details));
+        co_await responder_.refuse(std::move(details));
         break;
     }
     case next_step::fail:
     {
         std::string reason = reason_of_end("no complete answer");
-        co_await fail(std::move(reason));
+        co_await responder_.fail(failure_status(), std::move(reason));
         break;
     }
     case next_step::cut:
-        cut(reason_of_end("stream broke off"));
+        responder_.cut(reason_of_end("stream broke off"));
         break;
     case next_step::retry:
     case next_step::resume:
@@ -491,25 +492,10 @@
 
 attempt_limits forward_run::limits()
 {
-    const auto remaining = time_left();
-    attempt_limits result{
-        remaining + deadline_grace * 2, remaining + deadline_grace * 2,
-        [this] { start_standby(); }, [this] { stop_standby(); }};
-    if (accepted_.route->is_retryable())
-    {
-        const auto min_wait = accepted_.route->kind == route_kind::streaming
-                                  ? min_stream_wait
-                                  : min_first_byte_wait;
-        const auto share = std::chrono::duration_cast<milliseconds>(
-            remaining * first_attempt_share);
-        result.first_byte = std::max(min_wait, share);
-    }
-    if (accepted_.route->resumable &&
-        accepted_.route->gap_objective.count() > 0)
-    {
-        result.between_events = std::max(
-            accepted_.route->gap_objective * max_gap_factor, min_stream_wait);
-    }
+    auto result = silence_limits(*accepted_.route, time_left(),
+                                 time_left() + deadline_grace * 2);
+    result.on_silence = [this] { start_standby(); };
+    result.on_progress = [this] { stop_standby(); };
     return result;
 }
 
@@ -519,72 +505,4 @@
                                                     boot_clock::now());
 }
 
-asio::awaitable<void> forward_run::deliver(forward_attempt& attempt)
-{
-    bool complete = false;
-    if (stream_->begun())
-    {
-        complete = co_await channel_.end_stream();
-    }
-    else
-    {
-        text_response response;
-        response.base() = attempt.exchange()->head();
-        remove_hop_by_hop_headers(response);
-        response.body() = attempt.take_body();
-        complete = co_await channel_.write_response(std::move(response));
-    }
-    end(complete ? attempt.status() : 0, complete ? "complete" : "caller left");
-}
-
-asio::awaitable<void> forward_run::refuse(refusal details)
-{
-    text_response response(details.status, 11);
-    if (details.retry_delay.count() > 0)
-    {
-        const std::chrono::duration<double> wait = details.retry_delay;
-        response.set(http::field::retry_after,
-                     absl::StrFormat("%.3f", wait.count()));
-    }
-    co_await write_own_answer(std::move(response), std::move(details.reason));
-}
-
-asio::awaitable<void> forward_run::fail(std::string reason)
-{
-    const auto status =
-        timed_out_ ? http::status::gateway_timeout : http::status::bad_gateway;
-    text_response response(status, 11);
-    co_await write_own_answer(std::move(response), std::move(reason));
-}
-
-asio::awaitable<void> forward_run::write_own_answer(text_response response,
-                                                    std::string reason)
-{
-    ended_ = true;
-    const auto status = response.result_int();
-    const bool delivered =
-        co_await channel_.write_response(std::move(response));
-    end(delivered ? status : 0,
-        delivered ? std::move(reason)
-                  : reason + ", " + std::to_string(status) + " not delivered");
-}
-
-void forward_run::cut(const std::string& reason)
-{
-    end(0, reason);
-    channel_.cut();
-}
-
-void forward_run::end(unsigned status, std::string reason)
-{
-    ended_ = true;
-    request_end summary;
-    summary.status = status;
-    summary.reason = std::move(reason);
-    summary.attempts = sender_ ? sender_->log_text() : "";
-    summary.stages = stages_ ? std::optional(stages_->time()) : std::nullopt;
-    summary.confirmed = context_.state.freshness().age(boot_clock::now());
-    record_request_end(context_.metrics, accepted_, summary);
-}
-
 } // namespace mangolink
--- a/src/connection/forward_run.hpp
+++ b/src/connection/forward_run.hpp
@@ -5,6 +5,7 @@
 #include "connection/asio_types.hpp"
 #include "connection/attempt_sender.hpp"
 #include "connection/forward_attempt.hpp"
+#include "connection/request_responder.hpp"
 #include "connection/stream_forwarder.hpp"
 #include "request/attempt_policy.hpp"
 #include "request/direct_balancer.hpp"
@@ -21,6 +22,7 @@
 class request_stages;
 class standby_attempt;
 struct gateway_context;
+struct request_end;
 
 /// Handles one request of a caller up to its final answer.
 ///
@@ -48,7 +50,7 @@
     void stop_limit_reached();
 
     /// Returns whether the request has ended.
-    bool ended() const { return ended_; }
+    bool ended() const { return responder_.ended(); }
 
 private:
     using attempt_pointer = attempt_sender::attempt_pointer;
@@ -76,18 +78,15 @@
     /// Returns why this process ended the request, or `otherwise`.
     std::string reason_of_end(std::string otherwise) const;
 
-    asio::awaitable<void> deliver(forward_attempt& attempt);
-    asio::awaitable<void> refuse(refusal details);
-    asio::awaitable<void> fail(std::string reason);
-    asio::awaitable<void> write_own_answer(text_response response,
-                                           std::string reason);
-    void cut(const std::string& reason);
-    void end(unsigned status, std::string reason);
+    /// Adds what was tried to the record of the request's end.
+    void describe(request_end& end) const;
+    http::status failure_status() const;
 
     gateway_context& context_;
     response_writer& channel_;
     text_request request_;
     accepted_request accepted_;
+    request_responder responder_;
     std::shared_ptr<request_stages> stages_;
     std::optional<stream_forwarder> stream_;
     std::optional<attempt_sender> sender_;
@@ -98,7 +97,6 @@
     bool caller_gone_ = false;
     bool timed_out_ = false;
     bool stop_limit_reached_ = false;
-    bool ended_ = false;
 };
 
 } // namespace mangolink
