Pause after a failed accept of the balancer or of operators

What operators would see: a gateway without a free file descriptor uses its whole share of the processor, and serves its open requests late.

Cause: a connection that can't be accepted for lack of a descriptor stays in the queue, and the loop tried again at once. The loop of callers already pauses after a failure and logs it; this one now does the same.

a_lack_of_descriptors_keeps_no_processor_busy takes the descriptors away from a running gateway and leaves three connections waiting.

--- a/src/connection/auxiliary_listener.cpp
+++ b/src/connection/auxiliary_listener.cpp
@@ -1,6 +1,8 @@
 #include "connection/auxiliary_listener.hpp"
 
+#include "base/log.hpp"
 #include "connection/failure_log.hpp"
+#include "connection/listening_socket.hpp"
 #include "connection/scoped_timeout.hpp"
 
 #include <boost/beast/http/read.hpp>
@@ -29,11 +31,15 @@
         error_code error;
         tcp::socket socket(io_);
         co_await acceptor_.async_accept(socket, redirect_to(error));
-        if (!error)
+        if (error)
         {
-            asio::co_spawn(io_, serve(std::move(socket)),
-                           failure_log("auxiliary connection"));
+            log_warning("gateway", "Accept failed.",
+                        {{"reason", error.message()}});
+            co_await pause(io_, accept_retry_delay);
+            continue;
         }
+        asio::co_spawn(io_, serve(std::move(socket)),
+                       failure_log("auxiliary connection"));
     }
 }
 
--- a/tests/platform/internal_failure_test.cpp
+++ b/tests/platform/internal_failure_test.cpp
@@ -1,6 +1,11 @@
 #include "support/section.hpp"
 #include "support/test_cluster.hpp"
 
+#include <sys/resource.h>
+
+#include <ctime>
+#include <thread>
+
 namespace mangolink::test
 {
 
@@ -10,6 +15,7 @@
     CPPUNIT_TEST_SUITE(internal_failure_test);
     CPPUNIT_TEST(a_request_that_cannot_be_built_is_answered);
     CPPUNIT_TEST(an_item_key_that_is_no_text_blocks_no_stage_server);
+    CPPUNIT_TEST(a_lack_of_descriptors_keeps_no_processor_busy);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -52,7 +58,39 @@
                 [&] { assert_served(caller.send_request(staged("r", "2"))); });
     }
 
+    void a_lack_of_descriptors_keeps_no_processor_busy()
+    {
+        test_cluster cluster;
+        auto& gateway = start(cluster);
+        const pid_t process = gateway.process().id();
+        const rlimit none{8, 8}; // fewer than are open
+        CPPUNIT_ASSERT_EQUAL(0,
+                             ::prlimit(process, RLIMIT_NOFILE, &none, nullptr));
+        std::vector<std::unique_ptr<test_caller>> waiting;
+        for (int i = 0; i < 3; ++i)
+        {
+            waiting.push_back(
+                std::make_unique<test_caller>(gateway.readiness()));
+        }
+        const auto before = processor_time(process);
+        std::this_thread::sleep_for(milliseconds(1000));
+        const auto used = processor_time(process) - before;
+        CPPUNIT_ASSERT(used < milliseconds(300));
+    }
+
 private:
+    /// Returns the processor time that a process has used.
+    static milliseconds processor_time(pid_t process)
+    {
+        clockid_t clock{};
+        ::clock_getcpuclockid(process, &clock);
+        timespec time{};
+        ::clock_gettime(clock, &time);
+        return std::chrono::duration_cast<milliseconds>(
+            std::chrono::seconds(time.tv_sec) +
+            std::chrono::nanoseconds(time.tv_nsec));
+    }
+
     static gateway_process& start(test_cluster& cluster)
     {
         cluster.add_backend("engine", "engine-1").set_stream(2, {});
