Count no attempt for the address of another server

On a route of one attempt a stale address alone was a refusal, with sound servers at hand.

Cause: every send counted against maxAttempts. A 421 proves that the request has reached no server of its service, like a connect that failed; it now counts as little, up to three times a request. Each further send still draws on the retry budget, and the server counts as failed for the balancer as before.

--- a/src/connection/attempt_sender.cpp
+++ b/src/connection/attempt_sender.cpp
@@ -27,6 +27,10 @@
 /// Number of failed connects after which the search for a server ends.
 constexpr std::uint32_t max_connect_failures = 4;
 
+/// Number of sends of a request to the address of another server that are not
+/// counted as attempts.
+constexpr std::uint32_t max_misdirected_sends = 3;
+
 } // namespace
 
 attempt_sender::attempt_sender(gateway_context& context,
@@ -126,6 +130,11 @@
         std::erase(tried_servers_, id);
         --sends_;
     }
+    else if (attempt.misdirected() &&
+             ++misdirected_sends_ <= max_misdirected_sends)
+    {
+        --sends_; // it reached no server of the service
+    }
     context_.state.balancer().send_ended(id, attempt.outcome(cancelled),
                                          attempt.first_byte(),
                                          boot_clock::now());
--- a/src/connection/attempt_sender.hpp
+++ b/src/connection/attempt_sender.hpp
@@ -80,6 +80,7 @@
     std::vector<std::string> tried_servers_; ///< by id
     std::vector<std::string> log_;           ///< one entry per attempt
     std::uint32_t sends_ = 0;
+    std::uint32_t misdirected_sends_ = 0;
     bool may_have_run_ = false;
 };
 
--- a/src/connection/forward_attempt.cpp
+++ b/src/connection/forward_attempt.cpp
@@ -23,13 +23,13 @@
 }
 
 constexpr unsigned conflict = 409;
-constexpr unsigned misdirected = 421;
+constexpr unsigned misdirected_status = 421;
 constexpr unsigned first_server_failure = 500;
 
 /// Returns whether the status tells callers that the request has not run.
 bool implies_not_run(unsigned status)
 {
-    return status == 408 || status == misdirected || status == 429 ||
+    return status == 408 || status == misdirected_status || status == 429 ||
            status == 503;
 }
 
@@ -75,6 +75,11 @@
     return status() >= first_server_failure;
 }
 
+bool forward_attempt::misdirected() const
+{
+    return end_ == attempt_outcome::refused && status() == misdirected_status;
+}
+
 unsigned forward_attempt::status() const
 {
     const bool complete = end_ == attempt_outcome::answered ||
@@ -90,8 +95,7 @@
     case attempt_outcome::answered:
         return server_failure() ? send_outcome::failed : send_outcome::served;
     case attempt_outcome::refused:
-        return status() == misdirected ? send_outcome::failed
-                                       : send_outcome::shed;
+        return misdirected() ? send_outcome::failed : send_outcome::shed;
     case attempt_outcome::inputs_gone:
         return send_outcome::shed;
     case attempt_outcome::broken:
--- a/src/connection/forward_attempt.hpp
+++ b/src/connection/forward_attempt.hpp
@@ -61,6 +61,9 @@
     /// Returns whether the answer has a 5xx status.
     bool server_failure() const;
 
+    /// Returns whether another server answered at the address.
+    bool misdirected() const;
+
     /// Returns the status of a complete answer, or 0.
     unsigned status() const;
 
--- a/tests/platform/delivery_test.cpp
+++ b/tests/platform/delivery_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(answers_reach_only_their_request);
     CPPUNIT_TEST(incomplete_answers_are_not_delivered);
     CPPUNIT_TEST(unreachable_servers_are_passed_over);
+    CPPUNIT_TEST(a_server_at_the_address_of_another_uses_up_no_attempt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -194,6 +195,33 @@
                 });
     }
 
+    void a_server_at_the_address_of_another_uses_up_no_attempt()
+    {
+        test_cluster cluster;
+        const backend_standin other("orders-1");
+        for (const char* id : {"desk-1", "desk-2"})
+        {
+            cluster.add_backend("desk", id);
+            cluster.set_address(id, other.address());
+        }
+        auto& sound = cluster.add_backend("desk", "desk-3");
+        cluster.add_route("/orders/", "non_idempotent", "desk")["maxAttempts"] =
+            1;
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        for (int i = 0; i < 10; ++i)
+        {
+            const std::string id = "r" + std::to_string(i);
+            test_caller caller(gateway.callers());
+            const auto answer =
+                caller.send_request(cluster.request("/orders/x", id));
+            CPPUNIT_ASSERT(answer);
+            CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), sound.run_count(id));
+        }
+        CPPUNIT_ASSERT(!other.received().empty());
+    }
+
     void unreachable_servers_are_passed_over()
     {
         test_cluster cluster;
