Confirm the configuration as often as the trust in keys requires

What callers saw: where a revoked key must stop working within 3 s, requests with a key were refused with "configuration not confirmed" in between two confirmations, at followers about every second, at readers for up to a second after a change. With the 5 s of the deployments so far this does not happen.

Cause: a watch of 1.2 s and a follower's wait of 1 s were fixed, while keys are trusted for the limit less 1.7 s. At 3 s that is 1.3 s, less than one of each takes. Both times now follow from the limit: two intervals and their latency fit into it, 1.2 s and 1 s are their most. While there is no configuration, the watch stays long.

Before: nobody_refuses_between_two_confirmations failed at "at a follower". Reads of the store are as many as before at 5 s.

--- a/src/connection/update_follower.cpp
+++ b/src/connection/update_follower.cpp
@@ -19,8 +19,7 @@
 namespace
 {
 
-/// Longest time that a request waits for an update. Together with the age of
-/// the peer's state it must stay well under the time that keys are trusted.
+/// Longest time that a request waits for an update.
 constexpr milliseconds max_response_wait{1000};
 constexpr milliseconds response_timeout_margin{500};
 
@@ -124,13 +123,14 @@
 
 asio::awaitable<bool> update_follower::request_update(peer from)
 {
+    const auto wait = state_.freshness().refresh_interval(max_response_wait);
     const update_request known{state_.configuration_version(),
-                               updater_.entries().digest(), max_response_wait};
+                               updater_.entries().digest(), wait};
     const auto sent_at = boot_clock::now();
     text_request request =
         peer_request(from, update_path, encode_update_request(known));
     auto to = to_backend_server(from);
-    const milliseconds limit = max_response_wait + response_timeout_margin;
+    const milliseconds limit = wait + response_timeout_margin;
     const auto reply = co_await calls_.call(std::move(to), std::move(request),
                                             limit, &exchange_);
     if (!reply || reply->result() != http::status::ok)
--- a/src/roles/gateway_state_updater.cpp
+++ b/src/roles/gateway_state_updater.cpp
@@ -65,6 +65,12 @@
     return state_.configuration_version();
 }
 
+milliseconds gateway_state_updater::refresh_interval(milliseconds longest) const
+{
+    return state_.configuration() ? state_.freshness().refresh_interval(longest)
+                                  : longest; // there are no keys to trust
+}
+
 void gateway_state_updater::confirm_configuration(boot_clock::time_point as_of)
 {
     state_.freshness().confirm(as_of);
--- a/src/roles/gateway_state_updater.hpp
+++ b/src/roles/gateway_state_updater.hpp
@@ -42,6 +42,9 @@
     /// Returns the version in force, or 0 if there is none.
     std::uint64_t configuration_version() const;
 
+    /// Returns how often to confirm the configuration, `longest` at most.
+    milliseconds refresh_interval(milliseconds longest) const;
+
     /// Confirms that nothing newer than the current configuration existed at
     /// `as_of`.
     void confirm_configuration(boot_clock::time_point as_of);
--- a/src/version/configuration_freshness.cpp
+++ b/src/version/configuration_freshness.cpp
@@ -4,6 +4,14 @@
 
 namespace mangolink
 {
+namespace
+{
+
+/// Latency of two confirmations.
+constexpr milliseconds refresh_slack{300};
+constexpr milliseconds min_refresh_interval{100};
+
+} // namespace
 
 configuration_freshness::configuration_freshness(milliseconds revocation_limit,
                                                  milliseconds margin)
@@ -21,6 +29,13 @@
     return confirmed_ && arrival - *confirmed_ < limit_;
 }
 
+milliseconds
+configuration_freshness::refresh_interval(milliseconds longest) const
+{
+    return std::max(std::min(longest, (limit_ - refresh_slack) / 2),
+                    min_refresh_interval);
+}
+
 std::optional<milliseconds>
 configuration_freshness::age(boot_clock::time_point now) const
 {
--- a/src/version/configuration_freshness.hpp
+++ b/src/version/configuration_freshness.hpp
@@ -30,6 +30,11 @@
     /// Returns the age of the last confirmation, or nothing before the first.
     std::optional<milliseconds> age(boot_clock::time_point now) const;
 
+    /// Returns how often to confirm the configuration, `longest` at most: a
+    /// process trusts keys across two intervals, as a change that is found at
+    /// the end of one confirms only its beginning, and a follower adds its own.
+    milliseconds refresh_interval(milliseconds longest) const;
+
 private:
     milliseconds limit_;
     std::optional<boot_clock::time_point> confirmed_;
--- a/tests/platform/internal_failure_test.cpp
+++ b/tests/platform/internal_failure_test.cpp
@@ -67,7 +67,9 @@
         CPPUNIT_ASSERT_EQUAL(0,
                              ::prlimit(process, RLIMIT_NOFILE, &none, nullptr));
         std::vector<std::unique_ptr<test_caller>> waiting;
-        for (int i = 0; i < 3; ++i)
+        constexpr int count = 3;
+        waiting.reserve(count);
+        for (int i = 0; i < count; ++i)
         {
             waiting.push_back(
                 std::make_unique<test_caller>(gateway.readiness()));
--- a/tests/platform/stop_test.cpp
+++ b/tests/platform/stop_test.cpp
@@ -169,7 +169,10 @@
         gateway.process().signal(SIGSTOP);
         std::vector<std::unique_ptr<test_caller>> callers;
         std::vector<std::optional<text_response>> answers;
-        for (int i = 0; i < 6; ++i)
+        constexpr int count = 6;
+        callers.reserve(count);
+        answers.reserve(count);
+        for (int i = 0; i < count; ++i)
         {
             callers.push_back(std::make_unique<test_caller>(gateway.callers()));
         }
--- a/tests/platform/updates_test.cpp
+++ b/tests/platform/updates_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(a_reader_that_pauses_hides_no_revocation);
     CPPUNIT_TEST(a_reader_without_the_store_is_not_followed);
     CPPUNIT_TEST(a_missing_configuration_is_watched_by_one_process);
+    CPPUNIT_TEST(nobody_refuses_between_two_confirmations);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -192,6 +193,34 @@
                 });
     }
 
+    void nobody_refuses_between_two_confirmations()
+    {
+        test_cluster cluster;
+        prepare(cluster);
+        auto& follower = follower_of(cluster);
+        auto& reader = reader_of(cluster, follower);
+        const auto assert_served = [&](const gateway_process& gateway)
+        {
+            const auto end = boot_clock::now() + milliseconds(3000);
+            while (boot_clock::now() < end)
+            {
+                CPPUNIT_ASSERT_EQUAL(200U,
+                                     send_request(gateway, "/orders/x", "r"));
+                std::this_thread::sleep_for(milliseconds(20));
+            }
+        };
+        section("at a follower", [&] { assert_served(follower); });
+        for (int change = 0; change < 3; ++change)
+        {
+            section("at the reader after a change",
+                    [&]
+                    {
+                        cluster.publish();
+                        assert_served(reader);
+                    });
+        }
+    }
+
 private:
     static void prepare(test_cluster& cluster)
     {
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -82,6 +82,15 @@
                     CPPUNIT_ASSERT(
                         freshness.keys_trusted(now_ + milliseconds(3999)));
                 });
+        section("it is confirmed twice before keys stop being accepted",
+                [&]
+                {
+                    CPPUNIT_ASSERT(freshness.refresh_interval(milliseconds(
+                                       1200)) == milliseconds(1200));
+                    CPPUNIT_ASSERT(
+                        2 * freshness.refresh_interval(milliseconds(9000)) <
+                        milliseconds(4000));
+                });
         section("a process that was suspended does not accept keys",
                 [&] {
                     CPPUNIT_ASSERT(
