Test a return of the store between two pages and in refusals only

The stand-in can now come back before the second page of a list.

a_return_between_two_pages_hides_no_server writes a server that sorts into the first page at a revision that the first page has passed: a list joined of two copies would never show it.

--- a/tests/platform/store_era_test.cpp
+++ b/tests/platform/store_era_test.cpp
@@ -25,6 +25,8 @@
 {
     CPPUNIT_TEST_SUITE(store_era_test);
     CPPUNIT_TEST(revisions_given_out_again_hide_no_change);
+    CPPUNIT_TEST(a_return_between_two_pages_hides_no_server);
+    CPPUNIT_TEST(a_return_seen_only_in_refusals_hides_no_change);
     CPPUNIT_TEST(a_key_taken_away_stays_refused);
     CPPUNIT_TEST(a_revocation_that_was_lost_unseen_is_waited_for);
     CPPUNIT_TEST(servers_that_left_stay_unused);
@@ -70,6 +72,51 @@
                 });
     }
 
+    void a_return_between_two_pages_hides_no_server()
+    {
+        test_cluster cluster;
+        prepare(cluster);
+        for (const char* id : {"desk-2", "desk-3", "desk-4"})
+        {
+            cluster.add_backend("desk", id);
+        }
+        auto& gateway = cluster.start_gateway();
+        cluster.store().take_copy();
+        for (int i = 0; i < 6; ++i)
+        {
+            cluster.register_server("desk-4", "ready");
+        }
+        // It sorts before the second page, at a revision of the first one.
+        const backend_standin added("desk-0");
+        std::vector<std::pair<std::string, std::string>> written_again{
+            {"servers/desk-0", entry_of(added)}};
+        for (int i = 0; i < 12; ++i)
+        {
+            written_again.emplace_back("other/key", std::to_string(i));
+        }
+        cluster.store().come_back_between_pages(std::move(written_again));
+        cluster.store().compact(); // has the servers listed
+        expect_logged(gateway, "came back from an older copy");
+        expect_used(gateway, added);
+    }
+
+    void a_return_seen_only_in_refusals_hides_no_change()
+    {
+        test_cluster cluster;
+        prepare(cluster);
+        auto& gateway = cluster.start_gateway();
+        cluster.store().take_copy();
+        cluster.add_route("/two/", "idempotent", "desk");
+        cluster.publish();
+        expect_served(gateway, "/two/x");
+        cluster.store().set_mode(store_mode::busy);
+        cluster.add_route("/three/", "idempotent", "desk");
+        cluster.store().come_back({{configuration_key, next_version(cluster)}});
+        expect_logged(gateway, "came back from an older copy");
+        cluster.store().set_mode(store_mode::serving);
+        expect_served(gateway, "/three/x");
+    }
+
     void a_key_taken_away_stays_refused()
     {
         test_cluster cluster;
@@ -289,6 +336,18 @@
         cluster.publish();
     }
 
+    /// Returns the entry of a server of "desk".
+    static std::string entry_of(const backend_standin& server)
+    {
+        const nlohmann::json value{
+            {"service", "desk"},    {"address", server.address()},
+            {"zone", "z1"},         {"version", "v1"},
+            {"slots", 8},           {"state", "ready"},
+            {"coldRemainingMs", 0}, {"born", 1'000'000},
+            {"sequence", 1}};
+        return value.dump();
+    }
+
     /// Publishes a configuration that replaces the key.
     static void revoke(test_cluster& cluster)
     {
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -74,6 +74,19 @@
     const std::vector<std::pair<std::string, std::string>>& written_again)
 {
     const std::lock_guard lock(mutex_);
+    restore(written_again);
+}
+
+void store_standin::come_back_between_pages(
+    std::vector<std::pair<std::string, std::string>> written_again)
+{
+    const std::lock_guard lock(mutex_);
+    return_between_pages_ = std::move(written_again);
+}
+
+void store_standin::restore(
+    const std::vector<std::pair<std::string, std::string>>& written_again)
+{
     state_ = copy_;
     ++era_;
     for (const auto& [key, value] : written_again)
@@ -115,6 +128,10 @@
     }
     else if (target.starts_with("/v1/kv-range"))
     {
+        if (return_between_pages_ && !after.empty())
+        {
+            restore(*std::exchange(return_between_pages_, std::nullopt));
+        }
         reply(range(prefix, after));
     }
     else
--- a/tests/standins/store_standin.hpp
+++ b/tests/standins/store_standin.hpp
@@ -49,6 +49,10 @@
     void come_back(const std::vector<std::pair<std::string, std::string>>&
                        written_again = {});
 
+    /// Comes back before the next page of a list that is not its first.
+    void come_back_between_pages(
+        std::vector<std::pair<std::string, std::string>> written_again);
+
     /// Sends no era, like older stores.
     void hide_era() { sends_era_ = false; }
 
@@ -90,6 +94,8 @@
         boot_clock::time_point deadline;
     };
 
+    void restore(
+        const std::vector<std::pair<std::string, std::string>>& written_again);
     void handle(const text_request& request, standin_server::reply reply);
     void write(const std::string& key, const std::string& value);
     scripted_answer answer(unsigned status, const std::string& body) const;
@@ -107,6 +113,8 @@
     store_state state_;
     store_state copy_;
     std::uint64_t era_ = 1;
+    std::optional<std::vector<std::pair<std::string, std::string>>>
+        return_between_pages_; ///< written again then
     std::atomic<bool> sends_era_{true};
     std::vector<pending_watch> watches_;
     store_mode mode_ = store_mode::serving;
