--- a/tests/platform/internal_failure_test.cpp
+++ b/tests/platform/internal_failure_test.cpp
@@ -98,20 +98,15 @@
         cluster.add_backend("engine", "engine-1").set_stream(2, {});
         cluster.add_stage_server("encode", "encode-1", milliseconds(5));
         auto& route = cluster.add_route("/talk/", "streaming", "engine");
-        route["targetLatencyMs"] = 2000;
-        route["phases"] = {{{"service", "encode"},
-                            {"after", nlohmann::json::array()},
-                            {"length", 1000}}};
-        cluster.add_stage_pool("encode");
+        cluster.add_stage(route);
         cluster.publish();
         return cluster.start_gateway();
     }
 
     static text_request staged(const std::string& id, const std::string& items)
     {
-        auto request = test_cluster::request("/talk/x", id);
-        request.set("X-Chunk-Count", items);
-        request.set("X-Chunk-Key", "key");
+        auto request = test_cluster::staged_request("/talk/x", id, items);
+        request.set("X-Chunk-Key", "key"); // short, as the id may be long
         return request;
     }
 
--- a/tests/platform/leaving_notice_test.cpp
+++ b/tests/platform/leaving_notice_test.cpp
@@ -79,16 +79,16 @@
                 {
                     cluster.register_server("desk-1", "ready");
                     cluster.add_backend("desk", "desk-3");
-                    wait_for_servers(gateway, 3);
+                    CPPUNIT_ASSERT(gateway.wait_for_servers(3));
                     assert_unused(cluster, caller, leaving);
                 });
         section("an entry that was removed and is back",
                 [&]
                 {
                     cluster.unregister_server("desk-1");
-                    wait_for_servers(gateway, 2);
+                    CPPUNIT_ASSERT(gateway.wait_for_servers(2));
                     cluster.register_server("desk-1", "ready");
-                    wait_for_servers(gateway, 3);
+                    CPPUNIT_ASSERT(gateway.wait_for_servers(3));
                     assert_unused(cluster, caller, leaving);
                 });
         section("another start",
@@ -106,7 +106,7 @@
         auto& gateway = cluster.start_gateway();
         leaving.set_stream(6, milliseconds(100));
         cluster.unregister_server("desk-2");
-        wait_for_servers(gateway, 1);
+        CPPUNIT_ASSERT(gateway.wait_for_servers(1));
         test_caller streaming(gateway.callers());
         const auto begun = [&] { return !leaving.received().empty(); };
         std::optional<text_response> answer;
@@ -149,14 +149,14 @@
         auto& gateway = prepare_stages(cluster);
         auto& leaving =
             cluster.add_stage_server("encode", "encode-1", milliseconds(20));
-        wait_for_servers(gateway, 2);
+        CPPUNIT_ASSERT(gateway.wait_for_servers(2));
         leaving.set_notice(notice);
         test_caller caller(gateway.callers());
         CPPUNIT_ASSERT_EQUAL(200U, send_staged(cluster, caller));
         CPPUNIT_ASSERT(!leaving.received().empty());
         auto& other =
             cluster.add_stage_server("encode", "encode-2", milliseconds(20));
-        wait_for_servers(gateway, 3);
+        CPPUNIT_ASSERT(gateway.wait_for_servers(3));
         CPPUNIT_ASSERT_EQUAL(200U, send_staged(cluster, caller));
         section("the results of the second request are released",
                 [&]
@@ -176,7 +176,7 @@
         auto& gateway = prepare_stages(cluster);
         auto& leaving =
             cluster.add_stage_server("encode", "encode-1", milliseconds(20));
-        wait_for_servers(gateway, 2);
+        CPPUNIT_ASSERT(gateway.wait_for_servers(2));
         leaving.set_full(true);
         std::thread during_query(
             [&]
@@ -198,7 +198,7 @@
                 {
                     cluster.add_stage_server("encode", "encode-2",
                                              milliseconds(20));
-                    wait_for_servers(gateway, 3);
+                    CPPUNIT_ASSERT(gateway.wait_for_servers(3));
                     CPPUNIT_ASSERT_EQUAL(200U, send_staged(cluster, caller));
                 });
         section("nothing follows the query", [&]
@@ -223,11 +223,7 @@
     {
         cluster.add_backend("desk", "desk-1").set_stream(2, milliseconds(1));
         auto& route = cluster.add_route("/desk/", "streaming", "desk");
-        route["targetLatencyMs"] = 2000;
-        route["phases"] = {{{"service", "encode"},
-                            {"after", nlohmann::json::array()},
-                            {"length", 1000}}};
-        cluster.add_stage_pool("encode");
+        cluster.add_stage(route);
         cluster.publish();
         return cluster.start_gateway();
     }
@@ -244,10 +240,8 @@
     {
         static std::atomic<int> number{0};
         const std::string id = "s" + std::to_string(++number);
-        auto request = cluster.request("/desk/x", id);
-        request.set("X-Chunk-Count", "3");
-        request.set("X-Chunk-Key", "key-" + id);
-        const auto answer = caller.send_request(request);
+        const auto answer =
+            caller.send_request(cluster.staged_request("/desk/x", id, "3"));
         return answer ? answer->result_int() : 0;
     }
 
@@ -275,19 +269,6 @@
         CPPUNIT_ASSERT_EQUAL(before, server.received().size());
     }
 
-    static void wait_for_servers(const gateway_process& gateway,
-                                 std::size_t count)
-    {
-        const std::string wanted =
-            "\"backend_servers\": " + std::to_string(count);
-        CPPUNIT_ASSERT(bench::wait_until(
-            [&]
-            {
-                return gateway.fetch_operator_page("/status").find(wanted) !=
-                       std::string::npos;
-            }));
-    }
-
     static std::size_t idle(const gateway_process& gateway)
     {
         const std::string name = "\nmangolink_idle_backend_connections ";
--- a/tests/platform/power_loss_test.cpp
+++ b/tests/platform/power_loss_test.cpp
@@ -189,11 +189,7 @@
         cluster.add_route("/status/", "idempotent", "desk");
         cluster.add_route("/orders/", "non_idempotent", "desk");
         auto& route = cluster.add_route("/talk/", "streaming", "engine");
-        route["targetLatencyMs"] = 2000;
-        route["phases"] = {{{"service", "encode"},
-                            {"after", nlohmann::json::array()},
-                            {"length", 1000}}};
-        cluster.add_stage_pool("encode");
+        cluster.add_stage(route);
         cluster.configuration()["tenants"][0]["apiKeys"] = {test_key,
                                                             revoked_key};
         cluster.publish();
@@ -207,10 +203,9 @@
     {
         static std::atomic<unsigned> count{0};
         const std::string id = name + "-" + std::to_string(++count);
-        auto request = cluster.request(path, id, milliseconds(4000));
+        auto request =
+            cluster.staged_request(path, id, "2", milliseconds(4000));
         request.set("X-Key", key);
-        request.set("X-Chunk-Count", "2");
-        request.set("X-Chunk-Key", "key-" + id);
         try
         {
             test_caller caller(cluster.gateway(gateway).callers());
--- a/tests/platform/server_hold_test.cpp
+++ b/tests/platform/server_hold_test.cpp
@@ -93,7 +93,7 @@
         test_caller caller(gateway.callers());
         const auto begin = boot_clock::now();
         std::optional<text_response> answer;
-        wait_for_servers(gateway, 2);
+        CPPUNIT_ASSERT(gateway.wait_for_servers(2));
         std::thread waiting([&] { answer = send_staged(cluster, caller); });
         std::this_thread::sleep_for(hold * 2 / 3);
         const auto arrivals = server.arrivals();
@@ -109,7 +109,7 @@
         auto& gateway = prepare_stages(cluster);
         auto& held =
             cluster.add_stage_server("encode", "encode-1", milliseconds(300));
-        wait_for_servers(gateway, 2);
+        CPPUNIT_ASSERT(gateway.wait_for_servers(2));
         test_caller first(gateway.callers());
         test_caller second(gateway.callers());
         // The result of the first call is released during the hold.
@@ -167,11 +167,7 @@
         engine_ = &cluster.add_backend("desk", "desk-1");
         engine_->set_stream(2, milliseconds(1));
         auto& route = cluster.add_route("/desk/", "streaming", "desk");
-        route["targetLatencyMs"] = 4000;
-        route["phases"] = {{{"service", "encode"},
-                            {"after", nlohmann::json::array()},
-                            {"length", 1000}}};
-        cluster.add_stage_pool("encode");
+        cluster.add_stage(route, milliseconds(4000));
         cluster.publish();
         return cluster.start_gateway();
     }
@@ -196,10 +192,7 @@
     {
         static std::atomic<int> number{0};
         const std::string id = "s" + std::to_string(++number);
-        auto request = cluster.request("/desk/x", id);
-        request.set("X-Chunk-Count", "1");
-        request.set("X-Chunk-Key", "key-" + id);
-        return caller.send_request(request);
+        return caller.send_request(cluster.staged_request("/desk/x", id, "1"));
     }
 
     /// Requires a refusal that names a time up to the end of the hold.
@@ -212,19 +205,6 @@
         CPPUNIT_ASSERT(wait <= 1.5);
     }
 
-    static void wait_for_servers(const gateway_process& gateway,
-                                 std::size_t count)
-    {
-        const std::string wanted =
-            "\"backend_servers\": " + std::to_string(count);
-        CPPUNIT_ASSERT(bench::wait_until(
-            [&]
-            {
-                return gateway.fetch_operator_page("/status").find(wanted) !=
-                       std::string::npos;
-            }));
-    }
-
     backend_standin* engine_ = nullptr;
 };
 
--- a/tests/platform/silence_test.cpp
+++ b/tests/platform/silence_test.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-/// Sound backend servers that fall silent for a while and go on.
+/// Sound servers of requests that fall silent for a while and go on.
 class silence_test final : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(silence_test);
@@ -31,9 +31,6 @@
     CPPUNIT_TEST(a_stream_is_not_cut_when_the_standby_breaks_after_its_head);
     CPPUNIT_TEST(a_request_is_not_refused_by_its_only_servers_silence);
     CPPUNIT_TEST(a_request_is_refused_at_once_by_a_closed_port);
-    CPPUNIT_TEST(a_silent_stage_server_executes_no_item_twice);
-    CPPUNIT_TEST(a_silent_stage_pool_serves_again_right_after);
-    CPPUNIT_TEST(a_stage_server_that_stays_silent_is_replaced);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -72,11 +69,7 @@
         auto& stage =
             cluster.add_stage_server("encode", "encode-1", milliseconds(20));
         auto& route = add_streaming_route(cluster);
-        route["phases"] = {{{"service", "encode"},
-                            {"after", json::array()},
-                            {"length", 1000}}};
-        route["targetLatencyMs"] = 2000;
-        cluster.add_stage_pool("encode");
+        cluster.add_stage(route);
         cluster.publish();
         auto& gateway = cluster.start_gateway();
         for (auto* engine : {&one, &two})
@@ -91,7 +84,8 @@
                 stage.fail_next(1000, "late");
             });
         test_caller caller(gateway.callers());
-        const auto answer = caller.send_request(staged(cluster));
+        const auto answer =
+            caller.send_request(cluster.staged_request("/talk/x", "r"));
         during_silence.join();
         section("the stages were asked for again",
                 [&] { CPPUNIT_ASSERT(stage.received().size() > 2); });
@@ -213,7 +207,7 @@
         auto& two = cluster.add_backend("engine", "engine-2");
         auto& stage =
             cluster.add_stage_server("encode", "encode-1", milliseconds(20));
-        add_stage(cluster, add_streaming_route(cluster));
+        cluster.add_stage(add_streaming_route(cluster));
         cluster.publish();
         auto& gateway = cluster.start_gateway();
         for (auto* engine : {&one, &two})
@@ -229,7 +223,8 @@
                 other.add_faults({backend_fault::shed});
             });
         test_caller caller(gateway.callers());
-        const auto answer = caller.send_request(staged(cluster));
+        const auto answer =
+            caller.send_request(cluster.staged_request("/talk/x", "r"));
         during_silence.join();
         assert_events(answer, 4);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2 * 2), stage.received().size());
@@ -242,7 +237,7 @@
         auto& two = cluster.add_backend("engine", "engine-2");
         auto& stage =
             cluster.add_stage_server("encode", "encode-1", milliseconds(20));
-        add_stage(cluster, add_streaming_route(cluster));
+        cluster.add_stage(add_streaming_route(cluster));
         cluster.publish();
         auto& gateway = cluster.start_gateway();
         for (auto* engine : {&one, &two})
@@ -259,7 +254,8 @@
                 other.add_faults({backend_fault::inputs_gone});
             });
         test_caller caller(gateway.callers());
-        const auto answer = caller.send_request(staged(cluster));
+        const auto answer =
+            caller.send_request(cluster.staged_request("/talk/x", "r"));
         during_silence.join();
         assert_events(answer, 4);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2 * 2), stage.received().size());
@@ -362,116 +358,9 @@
         CPPUNIT_ASSERT(boot_clock::now() - begin < milliseconds(300));
     }
 
-    void a_silent_stage_server_executes_no_item_twice()
-    {
-        test_cluster cluster;
-        auto& stage =
-            cluster.add_stage_server("encode", "encode-1", milliseconds(150));
-        add_staged_route(cluster);
-        auto& gateway = cluster.start_gateway();
-        std::thread during_call(
-            [&]
-            {
-                bench::wait_until([&] { return !stage.calls().empty(); });
-                stage.server().fall_silent(short_silence);
-            });
-        test_caller caller(gateway.callers());
-        const auto answer =
-            caller.send_request(staged(cluster, "r", milliseconds(2400)));
-        during_call.join();
-        CPPUNIT_ASSERT(answer);
-        CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), stage.received().size());
-    }
-
-    void a_silent_stage_pool_serves_again_right_after()
-    {
-        test_cluster cluster;
-        std::vector<stage_server_standin*> stages;
-        for (const char* id : {"encode-1", "encode-2"})
-        {
-            stages.push_back(
-                &cluster.add_stage_server("encode", id, milliseconds(20)));
-        }
-        add_staged_route(cluster);
-        auto& gateway = cluster.start_gateway();
-        for (auto* stage : stages)
-        {
-            stage->server().fall_silent(short_silence);
-        }
-        std::atomic<unsigned> served{0};
-        std::vector<std::thread> callers;
-        constexpr unsigned requests = 8;
-        for (unsigned i = 0; i < requests; ++i)
-        {
-            callers.emplace_back(
-                [&, i]
-                {
-                    const std::string id = "r" + std::to_string(i);
-                    test_caller caller(gateway.callers());
-                    const auto answer = caller.send_request(
-                        staged(cluster, id, milliseconds(2400)));
-                    served += answer && answer->result_int() == 200 ? 1 : 0;
-                });
-        }
-        for (auto& caller : callers)
-        {
-            caller.join();
-        }
-        CPPUNIT_ASSERT_EQUAL(requests, served.load());
-    }
-
-    void a_stage_server_that_stays_silent_is_replaced()
-    {
-        test_cluster cluster;
-        auto& one =
-            cluster.add_stage_server("encode", "encode-1", milliseconds(20));
-        add_staged_route(cluster);
-        auto& gateway = cluster.start_gateway();
-        one.hang_next(1);
-        std::thread during_call(
-            [&]
-            {
-                bench::wait_until([&] { return one.hung() > 0; });
-                std::this_thread::sleep_for(milliseconds(800));
-                cluster.add_stage_server("encode", "encode-2",
-                                         milliseconds(20));
-            });
-        test_caller caller(gateway.callers());
-        const auto begin = boot_clock::now();
-        const auto answer =
-            caller.send_request(staged(cluster, "r", milliseconds(5000)));
-        during_call.join();
-        CPPUNIT_ASSERT(answer);
-        CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
-        section("as soon as there is another one",
-                [&] {
-                    CPPUNIT_ASSERT(boot_clock::now() - begin <
-                                   milliseconds(1500));
-                });
-    }
-
 private:
     using json = nlohmann::json;
 
-    static void add_staged_route(test_cluster& cluster)
-    {
-        cluster.add_backend("engine", "engine-1")
-            .set_stream(4, milliseconds(1));
-        add_stage(cluster, add_streaming_route(cluster));
-        cluster.publish();
-    }
-
-    static text_request staged(test_cluster& cluster,
-                               const std::string& id = "r",
-                               milliseconds deadline = milliseconds(5000))
-    {
-        auto request = cluster.request("/talk/x", id, deadline);
-        request.set("X-Chunk-Count", "2");
-        request.set("X-Chunk-Key", "key-" + id);
-        return request;
-    }
-
     static json& add_streaming_route(test_cluster& cluster)
     {
         auto& route = cluster.add_route("/talk/", "streaming", "engine");
@@ -480,15 +369,6 @@
         return route;
     }
 
-    static void add_stage(test_cluster& cluster, json& route)
-    {
-        route["phases"] = {{{"service", "encode"},
-                            {"after", json::array()},
-                            {"length", 1000}}};
-        route["targetLatencyMs"] = 2000;
-        cluster.add_stage_pool("encode");
-    }
-
     static std::size_t runs(const backend_standin& one,
                             const backend_standin& two)
     {
--- a/tests/platform/stop_test.cpp
+++ b/tests/platform/stop_test.cpp
@@ -196,12 +196,8 @@
         auto& server = cluster.add_backend("desk", "desk-1");
         auto& stage =
             cluster.add_stage_server("encode", "encode-1", milliseconds(20));
-        cluster.add_stage_pool("encode");
         cluster.add_route("/orders/", "non_idempotent", "desk");
-        cluster.add_route("/staged/", "idempotent", "desk")["phases"] = {
-            {{"service", "encode"},
-             {"after", nlohmann::json::array()},
-             {"length", 1000}}};
+        cluster.add_stage(cluster.add_route("/staged/", "idempotent", "desk"));
         for (auto& route : cluster.configuration()["routes"])
         {
             route["timeoutMs"] = 9000;
@@ -222,12 +218,9 @@
         std::thread staged(
             [&]
             {
-                auto request =
-                    cluster.request("/staged/x", "unsent", milliseconds(9000));
-                request.set("X-Chunk-Count", "2");
-                request.set("X-Chunk-Key", "key");
                 test_caller caller(gateway.callers());
-                unsent = caller.send_request(request);
+                unsent = caller.send_request(cluster.staged_request(
+                    "/staged/x", "unsent", "2", milliseconds(9000)));
             });
         bench::wait_until(
             [&] { return server.run_count("sent") + stage.hung() > 1; });
--- a/tests/support/test_cluster.cpp
+++ b/tests/support/test_cluster.cpp
@@ -96,6 +96,16 @@
     return answer ? answer->body() : "";
 }
 
+bool gateway_process::wait_for_servers(std::size_t count) const
+{
+    const std::string wanted = "\"backend_servers\": " + std::to_string(count);
+    return bench::wait_until(
+        [&] {
+            return fetch_operator_page("/status").find(wanted) !=
+                   std::string::npos;
+        });
+}
+
 std::string gateway_process::log_text() const
 {
     std::ifstream in(log_path_);
@@ -275,4 +285,23 @@
     return result;
 }
 
+text_request test_cluster::staged_request(const std::string& path,
+                                          const std::string& id,
+                                          const std::string& items,
+                                          milliseconds deadline)
+{
+    auto result = request(path, id, deadline);
+    result.set("X-Chunk-Count", items);
+    result.set("X-Chunk-Key", "key-" + id);
+    return result;
+}
+
+void test_cluster::add_stage(json& route, milliseconds latency_objective)
+{
+    route["targetLatencyMs"] = latency_objective.count();
+    route["phases"] = {
+        {{"service", "encode"}, {"after", json::array()}, {"length", 1000}}};
+    add_stage_pool("encode");
+}
+
 } // namespace mangolink::test
--- a/tests/support/test_cluster.hpp
+++ b/tests/support/test_cluster.hpp
@@ -40,6 +40,9 @@
     /// Returns the body of a page of the operator endpoint.
     std::string fetch_operator_page(const std::string& path) const;
 
+    /// Returns whether the gateway soon knows this number of servers.
+    bool wait_for_servers(std::size_t count) const;
+
     /// Returns the contents of the log.
     std::string log_text() const;
 
@@ -91,6 +94,11 @@
     /// Adds a pool of stage servers to the configuration.
     void add_stage_pool(const std::string& service);
 
+    /// Adds the pool "encode" and lets the requests of a route pass one stage
+    /// there.
+    void add_stage(nlohmann::json& route,
+                   milliseconds latency_objective = milliseconds(2000));
+
     /// Starts a gateway and waits until it is ready. `extra_settings` is
     /// appended to its settings, whose last table is that of the instance.
     /// `store` is the address of its store, by default that of the first.
@@ -115,6 +123,12 @@
     static text_request request(const std::string& path, const std::string& id,
                                 milliseconds deadline = milliseconds(5000));
 
+    /// Returns a request with `items` items in its stage.
+    static text_request
+    staged_request(const std::string& path, const std::string& id,
+                   const std::string& items = "2",
+                   milliseconds deadline = milliseconds(5000));
+
     store_standin& store() { return store_; }
     gateway_process& gateway(std::size_t index) { return *gateways_[index]; }
 
