Keep a standby until the silent server's answer can be used

What callers saw: a server fell silent, another one was at work on the request, and then the silent one came back with a refusal, a failure, or the head of a stream that broke off. The caller got 503 or 502, although the other server would have answered within the deadline; the 503 could be untrue, as that server had run the request.

Cause: any head of an answer counted as progress and ended the standby, before its status and body were known. Now only an answer that can be delivered, or a complete event, ends the standby. A send whose outcome is not recorded yet counts as one that may have run. An event of the silent server that was read in the moment in which the standby became ready is left to the standby, which goes on before it; it used to end both.

The last point has no test: it takes two events in one pass of the loop.

--- a/src/connection/attempt_sender.cpp
+++ b/src/connection/attempt_sender.cpp
@@ -117,11 +117,13 @@
 {
     tried_servers_.push_back(attempt.server()->id);
     ++sends_;
+    ++open_sends_;
 }
 
 void attempt_sender::record(const forward_attempt& attempt, bool cancelled)
 {
     const std::string& id = attempt.server()->id;
+    --open_sends_;
     may_have_run_ = may_have_run_ || attempt.end() == attempt_outcome::broken ||
                     attempt.end() == attempt_outcome::answered;
     if (attempt.end() == attempt_outcome::inputs_gone)
--- a/src/connection/attempt_sender.hpp
+++ b/src/connection/attempt_sender.hpp
@@ -58,8 +58,8 @@
     /// Returns the number of attempts written to a connection.
     std::uint32_t sends() const { return sends_; }
 
-    /// Returns whether any attempt may have run.
-    bool may_have_run() const { return may_have_run_; }
+    /// Returns whether any attempt may have run, or may yet.
+    bool may_have_run() const { return may_have_run_ || open_sends_ > 0; }
 
     /// Returns the servers tried and the outcomes there, for the log.
     std::string log_text() const;
@@ -83,5 +83,6 @@
     std::uint32_t misdirected_sends_ = 0;
     bool may_have_run_ = false;
 };
+    std::uint32_t open_sends_ = 0; ///< whose outcome is not recorded yet
 
 } // namespace mangolink
--- a/src/connection/forward_attempt.cpp
+++ b/src/connection/forward_attempt.cpp
@@ -61,6 +61,10 @@
     else
     {
         co_await read_complete_body(answer_begun);
+        if (has_answer())
+        {
+            limits.on_progress();
+        }
     }
 }
 
@@ -125,10 +129,6 @@
 {
     const scoped_timeout guard(io_, limits.first_byte, limits.on_silence);
     const bool read = co_await exchange_->begin();
-    if (read)
-    {
-        limits.on_progress();
-    }
     co_return read;
 }
 
@@ -231,6 +231,10 @@
                 limits.on_silence);
             open = co_await exchange_->read_some(pending_);
         }
+        if (timed_out_)
+        {
+            co_return; // another answer goes on after the last forwarded event
+        }
         silence_ = std::max(silence_, std::chrono::duration_cast<milliseconds>(
                                           boot_clock::now() - last_event));
     }
--- a/tests/platform/silence_test.cpp
+++ b/tests/platform/silence_test.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(a_stream_is_not_cut_when_the_standby_breaks_after_its_head);
     CPPUNIT_TEST(a_request_is_not_refused_by_its_only_servers_silence);
     CPPUNIT_TEST(a_request_is_refused_at_once_by_a_closed_port);
+    CPPUNIT_TEST(a_late_refusal_does_not_end_the_standby);
+    CPPUNIT_TEST(a_late_head_does_not_end_the_standby);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -358,6 +360,68 @@
         CPPUNIT_ASSERT(boot_clock::now() - begin < milliseconds(300));
     }
 
+    void a_late_refusal_does_not_end_the_standby()
+    {
+        test_cluster cluster;
+        auto& one = cluster.add_backend("desk", "desk-1");
+        auto& two = cluster.add_backend("desk", "desk-2");
+        cluster.add_route("/status/", "idempotent", "desk");
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        for (auto* desk : {&one, &two})
+        {
+            desk->set_delay(silence);
+            desk->add_faults({backend_fault::shed});
+        }
+        std::thread during_silence(
+            [&]
+            {
+                bench::wait_until(
+                    [&] {
+                        return !one.received().empty() ||
+                               !two.received().empty();
+                    });
+                auto& other = one.received().empty() ? one : two;
+                other.clear_faults();
+                other.set_delay(milliseconds(1200));
+            });
+        test_caller caller(gateway.callers());
+        const auto answer =
+            caller.send_request(cluster.request("/status/x", "r"));
+        during_silence.join();
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+    }
+
+    void a_late_head_does_not_end_the_standby()
+    {
+        test_cluster cluster;
+        auto& one = cluster.add_backend("engine", "engine-1");
+        auto& two = cluster.add_backend("engine", "engine-2");
+        add_streaming_route(cluster);
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        for (auto* engine : {&one, &two})
+        {
+            engine->set_stream(4, milliseconds(1));
+            engine->set_delay(silence);
+            engine->break_next_stream_after_head();
+        }
+        std::thread during_silence(
+            [&]
+            {
+                bench::wait_until([&] { return runs(one, two) > 0; });
+                auto& other = one.run_count("r") > 0 ? two : one;
+                other.set_delay(milliseconds(1000));
+                other.clear_faults();
+            });
+        test_caller caller(gateway.callers());
+        const auto answer =
+            caller.send_request(cluster.request("/talk/x", "r"));
+        during_silence.join();
+        assert_events(answer, 4);
+    }
+
 private:
     using json = nlohmann::json;
 
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -37,6 +37,7 @@
 {
     const std::lock_guard lock(mutex_);
     faults_.clear();
+    break_after_head_ = false;
 }
 
 void backend_standin::set_engine(const batching_engine_settings& settings)
--- a/tests/standins/backend_standin.hpp
+++ b/tests/standins/backend_standin.hpp
@@ -62,7 +62,7 @@
     /// Applies faults to the next requests, one each, in order.
     void add_faults(const std::vector<backend_fault>& faults);
 
-    /// Removes the faults not yet applied.
+    /// Removes the faults not yet applied, to streams as well.
     void clear_faults();
 
     /// Makes answers streams of `events` events with a pause before each.
