Send no request again on the connection of its refusal

What callers could see: a request that must run once ran twice.

Cause: a server that no longer has the stage results refuses with 409, and gets the request again with new ones, on the same connection. If it sends the refusal a second time, late, the request id fits: the copy passed for the answer to the second send, which was running, and a third was sent. The connection is now closed after this refusal; other refusals exclude their server.

--- a/src/connection/attempt_sender.cpp
+++ b/src/connection/attempt_sender.cpp
@@ -141,9 +141,12 @@
                                          attempt.first_byte(),
                                          boot_clock::now());
     log_.push_back(attempt.text());
-    // A server that left meanwhile needs its connections no more.
+    // The server gets the request again, and a late copy of this answer would
+    // pass for the next one. One that left meanwhile needs its connections no
+    // more.
     const auto known = context_.state.directory().find(id);
-    if (attempt.exchange()->reusable() && known &&
+    if (attempt.end() != attempt_outcome::inputs_gone &&
+        attempt.exchange()->reusable() && known &&
         known->started_ms == attempt.server()->started_ms)
     {
         context_.connections.release(id, attempt.exchange()->connection(),
--- a/tests/platform/silence_test.cpp
+++ b/tests/platform/silence_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(a_request_is_refused_at_once_by_a_closed_port);
     CPPUNIT_TEST(a_late_refusal_does_not_end_the_standby);
     CPPUNIT_TEST(a_late_head_does_not_end_the_standby);
+    CPPUNIT_TEST(a_late_copy_of_a_refusal_repeats_no_run);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -422,6 +423,31 @@
         assert_events(answer, 4);
     }
 
+    void a_late_copy_of_a_refusal_repeats_no_run()
+    {
+        test_cluster cluster;
+        auto& desk = cluster.add_backend("desk", "desk-1");
+        cluster.add_stage_server("encode", "encode-1", milliseconds(20));
+        cluster.add_stage(
+            cluster.add_route("/orders/", "non_idempotent", "desk"));
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        desk.add_faults({backend_fault::inputs_gone_copy});
+        std::thread before_copy(
+            [&]
+            {
+                bench::wait_until([&] { return !desk.received().empty(); });
+                desk.set_delay(milliseconds(1000));
+            });
+        test_caller caller(gateway.callers());
+        const auto answer =
+            caller.send_request(cluster.staged_request("/orders/x", "r"));
+        before_copy.join();
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), desk.run_count("r"));
+    }
+
 private:
     using json = nlohmann::json;
 
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -100,7 +100,8 @@
     const auto fault = next_fault();
     const bool expected = request["X-Expect-Instance"] == id_;
     record.ran = expected && fault != backend_fault::shed &&
-                 fault != backend_fault::inputs_gone;
+                 fault != backend_fault::inputs_gone &&
+                 fault != backend_fault::inputs_gone_copy;
     received_.push_back(record);
     if (!expected)
     {
@@ -193,8 +194,17 @@
         headers.emplace_back("X-Not-Executed: 1");
         return scripted_answer::of(503, "", headers);
     case backend_fault::inputs_gone:
-        return scripted_answer::of(
+    case backend_fault::inputs_gone_copy:
+    {
+        auto result = scripted_answer::of(
             409, "", {"X-Not-Executed: 1", "X-Attempt-Id: " + id});
+        if (fault == backend_fault::inputs_gone_copy)
+        {
+            result.parts.push_back(
+                {result.parts.front().bytes, milliseconds(400)});
+        }
+        return result;
+    }
     case backend_fault::failure:
         return scripted_answer::of(500, "failed", headers);
     case backend_fault::unproven_refusal:
--- a/tests/standins/backend_standin.hpp
+++ b/tests/standins/backend_standin.hpp
@@ -30,6 +30,7 @@
     none,
     shed,             ///< 503 with proof that it did not run
     inputs_gone,      ///< 409 with proof that it did not run
+    inputs_gone_copy, ///< the same, and a copy of it 400 ms later
     failure,          ///< signed 500
     unproven_refusal, ///< runs, then 503 without proof
     answer_lost,      ///< runs, then resets without an answer
