Let a late wake-up in a stop cost no answer

What callers saw: a gateway that wakes late near the end of its stop, after a pause or for lack of its processor share, dropped requests that waited on kept connections, and cut those that were to get their last answers, without a line.

Cause: both ends were counted from when they were due. After a late wake-up the timer comes before the sockets, so the loop ended before it had read them, and the time for last answers was over when it began. The loop now ends only after a pass that began when the time was over, and the last answers have their time from the moment they are asked for.

--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -386,11 +386,13 @@
     const auto latest_end = start_time + settings_.stop_limit - stop_reserve;
     auto now = start_time;
     while (now < latest_end &&
-           (now < earliest_end || !context_.open_requests.empty() ||
+           (last_pass < earliest_end || !context_.open_requests.empty() ||
+    auto last_pass = start_time;
             stages_.busy()))
     {
         co_await pause(io_, periodic_interval / 5);
         now = boot_clock::now();
+        last_pass = now; // what arrived before it is read by the end of it
         if (now >= rejection_start && !context_.rejecting_requests)
         {
             // A request that starts now could not end before the limit.
@@ -404,8 +406,8 @@
     {
         request->stop_limit_reached();
     }
-    while (!context_.open_requests.empty() &&
-           now < latest_end + last_answers_time)
+    const auto answers_end = now + last_answers_time;
+    while (!context_.open_requests.empty() && now < answers_end)
     {
         co_await pause(io_, last_answers_interval);
         now = boot_clock::now();
--- a/tests/platform/stop_test.cpp
+++ b/tests/platform/stop_test.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(late_requests_are_refused_not_cut_off);
     CPPUNIT_TEST(connections_waiting_for_acceptance_are_not_reset_by_a_stop);
     CPPUNIT_TEST(open_requests_are_answered_at_the_stop_limit);
+    CPPUNIT_TEST(a_late_wake_up_leaves_time_for_last_answers);
+    CPPUNIT_TEST(a_kept_connection_is_read_before_the_end);
     CPPUNIT_TEST(reload_keeps_serving);
     CPPUNIT_TEST(a_reload_during_the_start_ends_no_process);
     CPPUNIT_TEST(all_killed_at_once_serve_again);
@@ -256,6 +258,71 @@
             });
     }
 
+    void a_late_wake_up_leaves_time_for_last_answers()
+    {
+        test_cluster cluster;
+        auto& server = cluster.add_backend("desk", "desk-1");
+        cluster.add_route("/orders/", "non_idempotent", "desk")["timeoutMs"] =
+            9000;
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        server.add_faults({backend_fault::hang});
+        std::optional<text_response> answer;
+        std::thread order(
+            [&]
+            {
+                test_caller caller(gateway.callers());
+                answer = caller.send_request(
+                    cluster.request("/orders/x", "sent", milliseconds(9000)));
+            });
+        bench::wait_until([&] { return server.run_count("sent") > 0; });
+        gateway.process().signal(SIGTERM);
+        pause_between(gateway, milliseconds(3620), milliseconds(3880));
+        order.join();
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(502U, answer->result_int());
+    }
+
+    void a_kept_connection_is_read_before_the_end()
+    {
+        test_cluster cluster;
+        prepare(cluster);
+        auto& gateway = cluster.start_gateway();
+        constexpr std::size_t count = 6;
+        std::vector<std::unique_ptr<test_caller>> callers;
+        callers.reserve(count);
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            callers.push_back(std::make_unique<test_caller>(gateway.callers()));
+            CPPUNIT_ASSERT(callers.back()->send_request(
+                cluster.request("/orders/x", "first" + std::to_string(i))));
+        }
+        gateway.process().signal(SIGTERM);
+        std::vector<std::optional<text_response>> answers(count);
+        std::vector<std::thread> late;
+        late.reserve(count);
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            late.emplace_back(
+                [&, i]
+                {
+                    std::this_thread::sleep_for(milliseconds(3000));
+                    answers[i] = callers[i]->send_request(cluster.request(
+                        "/orders/x", "late" + std::to_string(i)));
+                });
+        }
+        pause_between(gateway, milliseconds(2800), milliseconds(3200));
+        for (auto& thread : late)
+        {
+            thread.join();
+        }
+        for (const auto& answer : answers)
+        {
+            CPPUNIT_ASSERT(answer);
+            CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+        }
+    }
+
     void reload_keeps_serving()
     {
         test_cluster cluster;
@@ -363,6 +430,16 @@
     }
 
 private:
+    /// Pauses the process for the time between two moments from now.
+    static void pause_between(gateway_process& gateway, milliseconds begin,
+                              milliseconds end)
+    {
+        std::this_thread::sleep_for(begin);
+        gateway.process().signal(SIGSTOP);
+        std::this_thread::sleep_for(end - begin);
+        gateway.process().signal(SIGCONT);
+    }
+
     static backend_standin& prepare(test_cluster& cluster)
     {
         auto& server = cluster.add_backend("desk", "desk-1");
