Answer a request that is connecting at the limit of a stop

What callers saw: a request whose server accepted no connection at the limit of a stop was cut without an answer or line, though it had been sent nowhere.

Cause: a connect takes up to 0.7 s and can't be aborted, the last answers have 0.15 s. Connects in a stop now end at its limit. A limit shorter than the 2.6 s for which requests are still served refuses requests at its end as well.

Before: a_connecting_request_is_answered_at_the_stop_limit got no answer.

--- a/src/connection/attempt_sender.cpp
+++ b/src/connection/attempt_sender.cpp
@@ -49,7 +49,7 @@
     auto& state = context_.state;
     std::uint32_t unsent = 0;
     while (unsent < max_connect_failures && time_left() > min_time_left &&
-           wanted())
+           connect_time() > milliseconds(0) && wanted())
     {
         auto server = state.balancer().choose(
             state.directory().servers(accepted_.service), preferences(stages),
@@ -59,8 +59,8 @@
             co_return nullptr;
         }
         state.balancer().send_started(server->id);
-        const milliseconds limit = std::min(connect_limit, time_left());
-        auto lease = co_await context_.connections.acquire(server, limit);
+        auto lease =
+            co_await context_.connections.acquire(server, connect_time());
         if (!wanted())
         {
             state.balancer().send_ended(server->id, send_outcome::cancelled, {},
@@ -270,6 +270,15 @@
     return result;
 }
 
+milliseconds attempt_sender::connect_time() const
+{
+    const auto result = std::min(connect_limit, time_left());
+    return context_.stop_limit
+               ? std::min(result, std::chrono::duration_cast<milliseconds>(
+                                      *context_.stop_limit - boot_clock::now()))
+               : result;
+}
+
 milliseconds attempt_sender::time_left() const
 {
     return std::chrono::duration_cast<milliseconds>(accepted_.deadline -
--- a/src/connection/attempt_sender.hpp
+++ b/src/connection/attempt_sender.hpp
@@ -73,6 +73,9 @@
     bool has_untried_server(const std::string& except) const;
     milliseconds time_left() const;
 
+    /// Returns the limit of a connect; one in progress can't be aborted.
+    milliseconds connect_time() const;
+
     gateway_context& context_;
     const text_request& request_;
     const accepted_request& accepted_;
@@ -80,9 +83,9 @@
     std::vector<std::string> tried_servers_; ///< by id
     std::vector<std::string> log_;           ///< one entry per attempt
     std::uint32_t sends_ = 0;
+    std::uint32_t open_sends_ = 0; ///< whose outcome is not recorded yet
     std::uint32_t misdirected_sends_ = 0;
     bool may_have_run_ = false;
 };
-    std::uint32_t open_sends_ = 0; ///< whose outcome is not recorded yet
 
 } // namespace mangolink
--- a/src/connection/gateway_context.hpp
+++ b/src/connection/gateway_context.hpp
@@ -5,6 +5,7 @@
 #include "version/gateway_configuration.hpp"
 
 #include <cstddef>
+#include <optional>
 #include <set>
 
 namespace mangolink
@@ -32,6 +33,8 @@
     answer_listener listener; ///< of the answers of backend servers
     bool stopping = false;
     bool rejecting_requests = false; ///< stopping; new requests are rejected
+    /// When a stop ends the open requests.
+    std::optional<boot_clock::time_point> stop_limit = {};
     std::size_t open_callers = 0;
     std::set<forward_run*> open_requests = {};
     std::uint64_t body_bytes = 0; ///< total body size of open requests
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -230,8 +230,9 @@
                    failure_log("accept loop"));
 }
 
-void gateway_server::close_caller_acceptor()
+void gateway_server::reject_requests()
 {
+    context_.rejecting_requests = true;
     // Closing the socket resets the connections that wait for acceptance.
     error_code error;
     caller_acceptor_->non_blocking(true, error);
@@ -384,23 +385,27 @@
     const auto rejection_start = start_time + balancer_removal_delay;
     auto earliest_end = rejection_start + rejection_time;
     const auto latest_end = start_time + settings_.stop_limit - stop_reserve;
+    context_.stop_limit = latest_end;
     auto now = start_time;
+    auto last_pass = start_time;
     while (now < latest_end &&
            (last_pass < earliest_end || !context_.open_requests.empty() ||
-    auto last_pass = start_time;
             stages_.busy()))
     {
+        last_pass = now; // what arrived before it is read by the end of it
         co_await pause(io_, periodic_interval / 5);
         now = boot_clock::now();
-        last_pass = now; // what arrived before it is read by the end of it
         if (now >= rejection_start && !context_.rejecting_requests)
         {
             // A request that starts now could not end before the limit.
-            context_.rejecting_requests = true;
-            close_caller_acceptor();
+            reject_requests();
             earliest_end = now + rejection_time;
         }
     }
+    if (!context_.rejecting_requests)
+    {
+        reject_requests();
+    }
     all_requests_ended_ = context_.open_requests.empty();
     for (auto* request : context_.open_requests)
     {
--- a/src/connection/gateway_server.hpp
+++ b/src/connection/gateway_server.hpp
@@ -62,7 +62,8 @@
                    const answer_metadata& metadata);
     void topology_changed();
     void accept_callers();
-    void close_caller_acceptor();
+    /// Refuses requests from now on. Connections that wait are accepted first.
+    void reject_requests();
     asio::awaitable<void> accept_loop(std::shared_ptr<tcp::acceptor> acceptor);
     void serve_caller(tcp::socket socket);
     text_response readiness_response(const text_request& request) const;
--- a/tests/platform/stop_test.cpp
+++ b/tests/platform/stop_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(open_requests_are_answered_at_the_stop_limit);
     CPPUNIT_TEST(a_late_wake_up_leaves_time_for_last_answers);
     CPPUNIT_TEST(a_kept_connection_is_read_before_the_end);
+    CPPUNIT_TEST(a_connecting_request_is_answered_at_the_stop_limit);
     CPPUNIT_TEST(reload_keeps_serving);
     CPPUNIT_TEST(a_reload_during_the_start_ends_no_process);
     CPPUNIT_TEST(all_killed_at_once_serve_again);
@@ -323,6 +324,24 @@
         }
     }
 
+    void a_connecting_request_is_answered_at_the_stop_limit()
+    {
+        test_cluster cluster;
+        auto& server = cluster.add_backend("desk", "desk-1");
+        cluster.add_route("/orders/", "non_idempotent", "desk")["timeoutMs"] =
+            9000;
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        server.server().fall_silent(milliseconds(6000));
+        gateway.process().signal(SIGTERM);
+        std::this_thread::sleep_for(milliseconds(2100));
+        test_caller caller(gateway.callers());
+        const auto answer = caller.send_request(
+            cluster.request("/orders/x", "unsent", milliseconds(9000)));
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+    }
+
     void reload_keeps_serving()
     {
         test_cluster cluster;
