Log what a server was working on when its answer broke off

The lines could not tell whether a request, the server or this system was the cause: the parts of a prompt were gone after the adapter, and a broken attempt did not say whether the server had begun to give output nor how the connection ended.

No decision changes, except that an event beyond the size limit no longer counts as progress of its server.

--- a/src/connection/attempt_sender.cpp
+++ b/src/connection/attempt_sender.cpp
@@ -1,5 +1,6 @@
 #include "connection/attempt_sender.hpp"
 
+#include "base/log.hpp"
 #include "connection/accepted_request.hpp"
 #include "connection/backend_exchange.hpp"
 #include "connection/backend_pool.hpp"
@@ -141,6 +142,10 @@
                                          attempt.first_byte(),
                                          boot_clock::now());
     log_.push_back(attempt.text());
+    if (attempt.end() == attempt_outcome::broken && !cancelled)
+    {
+        log_broken(attempt);
+    }
     // The server gets the request again, and a late copy of this answer would
     // pass for the next one. One that left meanwhile needs its connections no
     // more.
@@ -187,6 +192,18 @@
     return absl::StrJoin(log_, "; ");
 }
 
+void attempt_sender::log_broken(const forward_attempt& attempt) const
+{
+    log_notice("request", "Answer of a server broke off.",
+               {{"id", accepted_.metadata.id},
+                {"route", accepted_.route->name},
+                {"server", attempt.server()->id},
+                {"started_ms", std::to_string(attempt.server()->started_ms)},
+                {"received", attempt.received()},
+                {"end", attempt.connection_end()},
+                {"prompt", accepted_.metadata.prompt.text()}});
+}
+
 text_request attempt_sender::checked_request(const backend_server& server,
                                              const request_stages* stages)
 {
--- a/src/connection/backend_exchange.cpp
+++ b/src/connection/backend_exchange.cpp
@@ -91,6 +91,22 @@
            connection_->buffer().size() == 0 && !metadata_.server_leaving;
 }
 
+bool backend_exchange::closed_by_server() const
+{
+    for (const error_code closed : {error_code(asio::error::eof),
+                                    error_code(asio::error::connection_reset),
+                                    error_code(asio::error::broken_pipe),
+                                    error_code(http::error::end_of_stream),
+                                    error_code(http::error::partial_message)})
+    {
+        if (error_ == closed)
+        {
+            return true;
+        }
+    }
+    return complete() && parser_->need_eof();
+}
+
 const http::response_header<>& backend_exchange::head() const
 {
     return parser_->get().base();
--- a/src/connection/backend_exchange.hpp
+++ b/src/connection/backend_exchange.hpp
@@ -66,6 +66,10 @@
     }
     const error_code& error() const { return error_; }
 
+    /// Returns whether the server has closed or reset the connection, also if
+    /// that completes an answer that has neither a length nor chunks.
+    bool closed_by_server() const;
+
 private:
     using parser = http::response_parser<http::string_body>;
 
--- a/src/connection/forward_attempt.cpp
+++ b/src/connection/forward_attempt.cpp
@@ -47,6 +47,7 @@
 {
     const auto start_time = boot_clock::now();
     const bool head = co_await read_head(limits);
+    has_head_ = head;
     first_byte_ = std::chrono::duration_cast<milliseconds>(boot_clock::now() -
                                                            start_time);
     if (!head)
@@ -63,11 +64,31 @@
         co_await read_complete_body(answer_begun);
         if (has_answer())
         {
+            has_output_ = true;
             limits.on_progress();
         }
     }
 }
 
+bool forward_attempt::ended_without_output() const
+{
+    return end_ == attempt_outcome::broken && !has_output_ && !timed_out_ &&
+           exchange_->closed_by_server();
+}
+
+const char* forward_attempt::received() const
+{
+    return has_output_ ? "output" : has_head_ ? "head" : "nothing";
+}
+
+std::string forward_attempt::connection_end() const
+{
+    return timed_out_                      ? "time limit"
+           : exchange_->error()            ? exchange_->error().message()
+           : exchange_->closed_by_server() ? "closed"
+                                           : "invalid answer";
+}
+
 void forward_attempt::give_up()
 {
     timed_out_ = true;
@@ -173,6 +194,7 @@
         }
         else if (has_complete_event(pending_, known))
         {
+            has_output_ = true;
             break;
         }
     }
@@ -197,10 +219,11 @@
             on_first_event();
         }
         const auto received = pending_.size();
-        if (!open || received > max_event_bytes ||
-            has_complete_event(pending_, known))
+        const bool has_event = has_complete_event(pending_, known);
+        has_output_ = has_output_ || has_event;
+        if (!open || received > max_event_bytes || has_event)
         {
-            if (open)
+            if (open && has_event)
             {
                 limits.on_progress();
             }
--- a/src/connection/forward_attempt.hpp
+++ b/src/connection/forward_attempt.hpp
@@ -58,6 +58,16 @@
     /// Returns whether the caller disconnected while events were forwarded.
     bool caller_gone() const { return caller_gone_; }
 
+    /// Returns whether the server closed the connection before any output.
+    bool ended_without_output() const;
+
+    /// Returns what the server gave: "nothing", "head" or "output", which is a
+    /// complete event or answer.
+    const char* received() const;
+
+    /// Returns how the connection ended, for the log.
+    std::string connection_end() const;
+
     /// Returns whether the answer has a 5xx status.
     bool server_failure() const;
 
@@ -98,7 +108,9 @@
     milliseconds first_byte_{0};
     milliseconds silence_{0}; ///< longest time between two events
     bool streams_ = false;
-    bool timed_out_ = false; ///< given up while the server was silent
+    bool has_head_ = false;
+    bool has_output_ = false; ///< a complete event or answer
+    bool timed_out_ = false;  ///< given up while the server was silent
     bool caller_gone_ = false;
 };
 
--- a/src/connection/forward_protocol.hpp
+++ b/src/connection/forward_protocol.hpp
@@ -2,6 +2,7 @@
 
 #include "connection/asio_types.hpp"
 #include "process/backend_server.hpp"
+#include "request/prompt_parts.hpp"
 #include "request/stage_item_outcome.hpp"
 #include "request/stage_plan.hpp"
 
@@ -22,6 +23,7 @@
     std::string api_key;
     std::uint64_t affinity = 0; ///< hash of the shared prompt prefix; 0: none
     std::uint32_t shared_tokens = 0; ///< length of the shared prompt prefix
+    prompt_parts prompt;
     std::vector<std::uint32_t> item_counts; ///< by stage
     std::string item_key;         ///< input of stages without input stages
     std::uint64_t last_event = 0; ///< last event that the caller received
