--- /dev/null
+++ b/tests/platform/query_of_death_test.cpp
@@ -0,0 +1,228 @@
+#include "support/section.hpp"
+#include "support/test_cluster.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+namespace mangolink::test
+{
+namespace
+{
+
+/// A part that crashes every server, and one that all requests share.
+constexpr const char* deadly_part = "dead01";
+constexpr const char* common_part = "aa01";
+
+/// Time for gateways to learn what others know, and the number of requests that
+/// may still be sent after it, as the platform specifies.
+constexpr milliseconds contact_time{4000};
+constexpr std::size_t allowed_sends = 3;
+
+/// Returns a stream request with a prompt of its own.
+text_request prompt_request(const std::string& id, const std::string& part)
+{
+    auto request = test_cluster::request("/talk/x", id);
+    request.set("X-Model", "m");
+    request.set("X-Token-Counts", "900,20");
+    request.set("X-Prompt-Prefix",
+                absl::StrCat(common_part, ":500,", part, ":300,",
+                             absl::Hex(std::hash<std::string>()(id)), ":100"));
+    return request;
+}
+
+/// Engines that recover some time after a crash, as another start.
+class engine_pool final
+{
+public:
+    engine_pool(test_cluster& cluster, unsigned count, milliseconds downtime)
+        : cluster_(cluster), downtime_(downtime)
+    {
+        for (unsigned i = 1; i <= count; ++i)
+        {
+            auto& engine = cluster.add_backend("engine", absl::StrCat("e-", i));
+            engine.set_stream(4, milliseconds(15));
+            engine.set_crashing_part(deadly_part);
+            engines_.push_back(&engine);
+        }
+        cluster.add_route("/talk/", "streaming", "engine");
+        cluster.publish();
+        recovery_ = std::thread([this] { recover_loop(); });
+    }
+
+    ~engine_pool()
+    {
+        stopping_ = true;
+        recovery_.join();
+    }
+
+    const std::vector<backend_standin*>& engines() const { return engines_; }
+
+    /// Returns the times of all crashes in order.
+    std::vector<boot_clock::time_point> crash_times() const
+    {
+        std::vector<boot_clock::time_point> times;
+        for (const auto* engine : engines_)
+        {
+            const auto own = engine->crash_times();
+            times.insert(times.end(), own.begin(), own.end());
+        }
+        std::sort(times.begin(), times.end());
+        return times;
+    }
+
+    /// Returns the number of requests with the deadly part that arrived after a
+    /// time.
+    std::size_t deadly_sends_after(boot_clock::time_point time) const
+    {
+        std::size_t count = 0;
+        for (const auto* engine : engines_)
+        {
+            for (const auto& request : engine->received_with_part(deadly_part))
+            {
+                count += request.at > time ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
+private:
+    void recover_loop()
+    {
+        while (!stopping_)
+        {
+            std::this_thread::sleep_for(milliseconds(20));
+            for (auto* engine : engines_)
+            {
+                if (engine->crashed() &&
+                    boot_clock::now() >
+                        engine->crash_times().back() + downtime_)
+                {
+                    engine->recover();
+                    cluster_.restart_server(engine->id());
+                }
+            }
+        }
+    }
+
+    test_cluster& cluster_;
+    milliseconds downtime_;
+    std::vector<backend_standin*> engines_;
+    std::atomic<bool> stopping_{false};
+    std::thread recovery_;
+};
+
+/// Sound requests that go on in the background, with parts of their own but the
+/// first.
+class sound_callers final
+{
+public:
+    sound_callers(test_cluster& cluster, std::vector<std::size_t> gateways)
+    {
+        for (const auto index : gateways)
+        {
+            threads_.emplace_back(
+                [this, &cluster, index]
+                { run(cluster.gateway(index).callers(), index); });
+        }
+    }
+
+    ~sound_callers() { stop(); }
+
+    void stop()
+    {
+        stopping_ = true;
+        for (auto& thread : threads_)
+        {
+            thread.join();
+        }
+        threads_.clear();
+    }
+
+    unsigned served() const { return served_; }
+    unsigned refused() const { return refused_; }
+
+private:
+    void run(const socket_address& address, std::size_t caller)
+    {
+        for (unsigned i = 0; !stopping_; ++i)
+        {
+            test_caller connection(address);
+            const auto answer = connection.send_request(
+                prompt_request(absl::StrCat("sound-", caller, "-", i),
+                               absl::StrCat("bb0", i % 9)));
+            const unsigned status = answer ? answer->result_int() : 0;
+            served_ += status == 200 ? 1 : 0;
+            refused_ += status == 503 ? 1 : 0;
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+    }
+
+    std::atomic<bool> stopping_{false};
+    std::atomic<unsigned> served_{0};
+    std::atomic<unsigned> refused_{0};
+    std::vector<std::thread> threads_;
+};
+
+/// Sends a request with the deadly part; returns the status.
+unsigned send_deadly(const gateway_process& gateway)
+{
+    static std::atomic<unsigned> number{0};
+    test_caller caller(gateway.callers());
+    const auto answer = caller.send_request(
+        prompt_request(absl::StrCat("deadly-", ++number), deadly_part));
+    return answer ? answer->result_int() : 0;
+}
+
+} // namespace
+
+/// A part of a prompt that crashes every server which works on it.
+class query_of_death_test final : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(query_of_death_test);
+    CPPUNIT_TEST(a_part_that_crashes_servers_stops_reaching_them);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void a_part_that_crashes_servers_stops_reaching_them()
+    {
+        test_cluster cluster;
+        engine_pool pool(cluster, 8, milliseconds(1000));
+        for (int i = 0; i < 3; ++i)
+        {
+            cluster.start_gateway();
+        }
+        sound_callers sound(cluster, {0, 1, 2});
+        const auto begin = boot_clock::now();
+        for (std::size_t i = 0; boot_clock::now() - begin < milliseconds(9000);
+             ++i)
+        {
+            send_deadly(cluster.gateway(i % 3));
+            std::this_thread::sleep_for(milliseconds(250));
+        }
+        const auto served = sound.served();
+        CPPUNIT_ASSERT(bench::wait_until(
+            [&] { return sound.served() > served + 50; }, milliseconds(5000)));
+        sound.stop();
+        const auto crashes = pool.crash_times();
+        section("few requests with the part are sent once all may know it",
+                [&]
+                {
+                    const std::size_t late =
+                        crashes.size() < 5 ? 0
+                                           : pool.deadly_sends_after(
+                                                 crashes[4] + contact_time);
+                    CPPUNIT_ASSERT_MESSAGE(absl::StrCat(late, " sends"),
+                                           late <= allowed_sends);
+                });
+        section("no request that shares its other parts is refused",
+                [&] { CPPUNIT_ASSERT_EQUAL(0U, sound.refused()); });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(query_of_death_test);
+
+} // namespace mangolink::test
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -1,5 +1,7 @@
 #include "standins/backend_standin.hpp"
 
+#include "lab/child_process.hpp"
+
 #include <absl/strings/ascii.h>
 
 #include <algorithm>
@@ -7,6 +9,20 @@
 namespace mangolink::test
 {
 
+namespace
+{
+
+/// Time from the head of an answer to the crash that its request causes.
+constexpr milliseconds crash_delay{30};
+
+bool has_part(const std::string& prompt, const std::string& part)
+{
+    return !part.empty() &&
+           ("," + prompt).find("," + part + ":") != std::string::npos;
+}
+
+} // namespace
+
 std::string answer_body(const std::string& server, const std::string& request)
 {
     return "answer of " + server + " to " + request;
@@ -61,6 +77,56 @@
     silence_ = time;
 }
 
+void backend_standin::set_crashing_part(const std::string& part)
+{
+    const std::lock_guard lock(mutex_);
+    crashing_part_ = part;
+}
+
+void backend_standin::crash()
+{
+    server_.post([this] { end_all_connections(); });
+    bench::wait_until([this] { return crashed(); });
+}
+
+void backend_standin::recover()
+{
+    server_.set_unreachable(false);
+    crashed_ = false;
+}
+
+std::vector<boot_clock::time_point> backend_standin::crash_times() const
+{
+    const std::lock_guard lock(mutex_);
+    return crash_times_;
+}
+
+std::vector<received_request>
+backend_standin::received_with_part(const std::string& part) const
+{
+    auto result = received();
+    std::erase_if(result,
+                  [&part](const received_request& record)
+                  {
+                      const auto prompt =
+                          record.headers.find("x-prompt-prefix");
+                      return prompt == record.headers.end() ||
+                             !has_part(prompt->second, part);
+                  });
+    return result;
+}
+
+void backend_standin::end_all_connections()
+{
+    const std::lock_guard lock(mutex_);
+    if (!crashed_)
+    {
+        server_.crash();
+        crash_times_.push_back(boot_clock::now());
+        crashed_ = true;
+    }
+}
+
 void backend_standin::set_notice(const std::string& header)
 {
     const std::lock_guard lock(mutex_);
@@ -110,6 +176,15 @@
                                    "X-Attempt-Id: " + record.id}));
         return;
     }
+    if (has_part(std::string(request["X-Prompt-Prefix"]), crashing_part_))
+    {
+        server_.post([this] { end_all_connections(); }, crash_delay);
+        scripted_answer script;
+        script.parts.push_back({stream_head(record.id), {}});
+        script.end = answer_end::unresponsive;
+        reply(std::move(script));
+        return;
+    }
     if (engine_ && fault == backend_fault::none)
     {
         auto script = engine_->start(request, stream_head(record.id));
--- a/tests/standins/backend_standin.hpp
+++ b/tests/standins/backend_standin.hpp
@@ -84,6 +84,24 @@
     /// Makes the next stream fall silent for a time after some events.
     void silence_next_stream(unsigned after_events, milliseconds time);
 
+    /// Makes requests whose prompt has a part crash the server once it has sent
+    /// the head of their answer.
+    void set_crashing_part(const std::string& part);
+
+    /// Ends all connections and accepts no more until recover().
+    void crash();
+
+    /// Returns whether the server has crashed and was not recovered.
+    bool crashed() const { return crashed_; }
+    void recover();
+
+    /// Returns the times of all crashes.
+    std::vector<boot_clock::time_point> crash_times() const;
+
+    /// Returns the requests received whose prompt has a part.
+    std::vector<received_request>
+    received_with_part(const std::string& part) const;
+
     /// Adds a header line to all answers; empty: none.
     void set_notice(const std::string& header);
 
@@ -116,6 +134,7 @@
     std::string stream_head(const std::string& request) const;
     std::vector<std::string> answer_headers(const std::string& request) const;
     backend_fault next_fault();
+    void end_all_connections();
 
     std::string id_;
     mutable std::mutex mutex_;
@@ -128,6 +147,9 @@
     unsigned silent_after_ = 0;
     milliseconds silence_{0};
     std::string notice_;
+    std::string crashing_part_; ///< empty: none
+    std::atomic<bool> crashed_{false};
+    std::vector<boot_clock::time_point> crash_times_;
     std::atomic<std::int64_t> delay_ms_{0};
     std::unique_ptr<batching_engine> engine_;
     standin_server server_; ///< last, as its thread uses the other members
--- a/tests/standins/standin_server.cpp
+++ b/tests/standins/standin_server.cpp
@@ -99,20 +99,29 @@
     post(
         [this, unreachable, &done]
         {
-            unreachable_ = unreachable;
-            for (const auto& weak : connections_)
+            if (unreachable)
             {
-                if (const auto socket = weak.lock(); socket && unreachable)
-                {
-                    close_socket(*socket);
-                }
+                crash();
             }
-            connections_.clear();
+            unreachable_ = unreachable;
             done.set_value();
         });
     done.get_future().wait();
 }
 
+void standin_server::crash()
+{
+    unreachable_ = true;
+    for (const auto& weak : connections_)
+    {
+        if (const auto socket = weak.lock())
+        {
+            close_socket(*socket);
+        }
+    }
+    connections_.clear();
+}
+
 void standin_server::fall_silent(milliseconds time)
 {
     std::promise<void> silent;
--- a/tests/standins/standin_server.hpp
+++ b/tests/standins/standin_server.hpp
@@ -106,6 +106,9 @@
     /// Returns when that is in force. Not called on the thread of the server.
     void set_unreachable(bool unreachable);
 
+    /// Like set_unreachable(true), called on the thread of the server.
+    void crash();
+
     /// Neither reads, writes nor accepts for a time; open connections stay
     /// open. Returns when that is in force. Not called on the thread of the
     /// server.
