Refuse requests with a part that crashes servers

What callers saw: servers ended one after the other under requests with one part in their prompts, 42 in 10 s; the requests beside them got 502, were cut or sent again.

Cause: nothing related the end of a server to what it was working on, so each new request with the part, at any gateway, was sent to the next server (a query of death).

Why this works: prompt_quarantine decides. A server that ends casts suspicion on all parts of the requests that had no output from it yet; output for any request with a part clears it, and only a sound part can have output. What crashes apart in time, under different requests, more often than a sound part is likely to at the current rate of crashes, is refused: at once, before stage work, before each further send. The answer is 503 with a Retry-After beyond any deadline: the request has not run, and coming back is of no use.

--- a/src/connection/attempt_sender.cpp
+++ b/src/connection/attempt_sender.cpp
@@ -7,6 +7,7 @@
 #include "connection/forward_attempt.hpp"
 #include "connection/gateway_context.hpp"
 #include "connection/http_headers.hpp"
+#include "connection/prompt_guard.hpp"
 #include "connection/request_check.hpp"
 #include "connection/request_stages.hpp"
 #include "connection/stream_forwarder.hpp"
@@ -48,9 +49,14 @@
 attempt_sender::next(const request_stages* stages, std::function<bool()> wanted)
 {
     auto& state = context_.state;
+    const auto is_wanted = [&]
+    {
+        return wanted() &&
+               !context_.prompts.is_quarantined(accepted_.metadata.prompt);
+    };
     std::uint32_t unsent = 0;
     while (unsent < max_connect_failures && time_left() > min_time_left &&
-           connect_time() > milliseconds(0) && wanted())
+           connect_time() > milliseconds(0) && is_wanted())
     {
         auto server = state.balancer().choose(
             state.directory().servers(accepted_.service), preferences(stages),
@@ -62,7 +68,7 @@
         state.balancer().send_started(server->id);
         auto lease =
             co_await context_.connections.acquire(server, connect_time());
-        if (!wanted())
+        if (!is_wanted())
         {
             state.balancer().send_ended(server->id, send_outcome::cancelled, {},
                                         boot_clock::now());
@@ -144,7 +150,7 @@
     log_.push_back(attempt.text());
     if (attempt.end() == attempt_outcome::broken && !cancelled)
     {
-        log_broken(attempt);
+        record_broken(attempt);
     }
     // The server gets the request again, and a late copy of this answer would
     // pass for the next one. One that left meanwhile needs its connections no
@@ -168,6 +174,7 @@
     return has_untried_server({}) && accepted_.route->is_retryable() &&
            sends_ < accepted_.route->max_attempts &&
            time_left() > min_time_left &&
+           !context_.prompts.is_quarantined(accepted_.metadata.prompt) &&
            context_.state.retry_budget_of(accepted_.service)
                .available(boot_clock::now());
 }
@@ -192,7 +199,7 @@
     return absl::StrJoin(log_, "; ");
 }
 
-void attempt_sender::log_broken(const forward_attempt& attempt) const
+void attempt_sender::record_broken(const forward_attempt& attempt) const
 {
     log_notice("request", "Answer of a server broke off.",
                {{"id", accepted_.metadata.id},
@@ -202,6 +209,11 @@
                 {"received", attempt.received()},
                 {"end", attempt.connection_end()},
                 {"prompt", accepted_.metadata.prompt.text()}});
+    if (attempt.ended_without_output() && !stream_.begun())
+    {
+        context_.prompts.record_crash(accepted_.metadata.prompt,
+                                      *attempt.server());
+    }
 }
 
 text_request attempt_sender::checked_request(const backend_server& server,
--- a/src/connection/attempt_sender.hpp
+++ b/src/connection/attempt_sender.hpp
@@ -71,7 +71,7 @@
     text_request backend_request(const backend_server& server,
                                  const request_stages* stages) const;
     bool has_untried_server(const std::string& except) const;
-    void log_broken(const forward_attempt& attempt) const;
+    void record_broken(const forward_attempt& attempt) const;
     milliseconds time_left() const;
 
     /// Returns the limit of a connect; one in progress can't be aborted.
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -3,6 +3,7 @@
 #include "connection/backend_exchange.hpp"
 #include "connection/failure_log.hpp"
 #include "connection/gateway_context.hpp"
+#include "connection/prompt_guard.hpp"
 #include "connection/request_check.hpp"
 #include "connection/request_record.hpp"
 #include "connection/request_stages.hpp"
@@ -118,6 +119,29 @@
     stop_waiting();
 }
 
+void forward_run::quarantine_changed()
+{
+    if (stages_ && current_ == nullptr && !standby_ && is_quarantined())
+    {
+        stages_->stop();
+    }
+}
+
+bool forward_run::is_quarantined() const
+{
+    return context_.prompts.is_quarantined(accepted_.metadata.prompt);
+}
+
+void forward_run::record_progress()
+{
+    stop_standby();
+    if (!has_output_)
+    {
+        has_output_ = true;
+        context_.prompts.record_output(accepted_.metadata.prompt);
+    }
+}
+
 void forward_run::describe(request_end& end) const
 {
     end.attempts = sender_ ? sender_->log_text() : "";
@@ -134,6 +158,7 @@
 {
     return stop_limit_reached_ ? "stop limit"
            : timed_out_        ? "deadline"
+           : is_quarantined()  ? "prompt part quarantined"
                                : std::move(otherwise);
 }
 
@@ -194,8 +219,9 @@
     {
         co_return true;
     }
-    std::string reason =
-        stop_limit_reached_ ? reason_of_end({}) : stages_->failure();
+    std::string reason = stop_limit_reached_ || is_quarantined()
+                             ? reason_of_end({})
+                             : stages_->failure();
     if (caller_gone_)
     {
         responder_.end(0, "caller left during stages");
@@ -212,7 +238,9 @@
     {
         refusal details{http::status::service_unavailable, std::move(reason),
                         retry_soon};
-        co_await responder_.refuse(std::move(details));
+        co_await responder_.refuse(
+            context_.prompts.check(accepted_.metadata.prompt)
+                .value_or(std::move(details)));
     }
     co_return false;
 }
@@ -267,7 +295,9 @@
             context_.state.directory().servers(accepted_.service),
             boot_clock::now());
         details.retry_delay = std::max(retry_soon, hold.value_or(retry_soon));
-        co_await responder_.refuse(std::move(details));
+        co_await responder_.refuse(
+            context_.prompts.check(accepted_.metadata.prompt)
+                .value_or(std::move(details)));
         break;
     }
     case next_step::fail:
@@ -301,7 +331,8 @@
     progress.may_have_run = sender_->may_have_run();
     progress.answer_begun = stream_->begun();
     progress.time_left = last != nullptr && !timed_out_ &&
-                         !stop_limit_reached_ && time_left() > min_time_left;
+                         !stop_limit_reached_ && !is_quarantined() &&
+                         time_left() > min_time_left;
     progress.server_failure = last != nullptr && last->server_failure();
     const auto end = last != nullptr ? last->end() : attempt_outcome::unsent;
     const auto step = decide_next(*accepted_.route, end, progress, true);
@@ -495,7 +526,7 @@
     auto result = silence_limits(*accepted_.route, time_left(),
                                  time_left() + deadline_grace * 2);
     result.on_silence = [this] { start_standby(); };
-    result.on_progress = [this] { stop_standby(); };
+    result.on_progress = [this] { record_progress(); };
     return result;
 }
 
--- a/src/connection/forward_run.hpp
+++ b/src/connection/forward_run.hpp
@@ -49,6 +49,10 @@
     /// Ends the request, as the process has no time left to complete it.
     void stop_limit_reached();
 
+    /// Ends the request if it has not been sent and a part of its prompt is
+    /// quarantined.
+    void quarantine_changed();
+
     /// Returns whether the request has ended.
     bool ended() const { return responder_.ended(); }
 
@@ -74,6 +78,8 @@
     attempt_limits limits();
     milliseconds time_left() const;
     void stop_waiting();
+    void record_progress();
+    bool is_quarantined() const;
 
     /// Returns why this process ended the request, or `otherwise`.
     std::string reason_of_end(std::string otherwise) const;
@@ -94,6 +100,7 @@
     forward_attempt* current_ = nullptr;       ///< in progress
     std::shared_ptr<standby_attempt> standby_; ///< while the server is silent
     bool inputs_gone_ = false;
+    bool has_output_ = false; ///< from a server
     bool caller_gone_ = false;
     bool timed_out_ = false;
     bool stop_limit_reached_ = false;
--- a/src/connection/gateway_context.hpp
+++ b/src/connection/gateway_context.hpp
@@ -16,6 +16,7 @@
 class forward_protocol;
 class gateway_state;
 class metrics_registry;
+class prompt_guard;
 class stage_dispatcher;
 struct gateway_settings;
 
@@ -30,6 +31,7 @@
     gateway_state& state;
     backend_pool& connections;
     stage_dispatcher& stages;
+    prompt_guard& prompts;
     answer_listener listener; ///< of the answers of backend servers
     bool stopping = false;
     bool rejecting_requests = false; ///< stopping; new requests are rejected
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -99,11 +99,13 @@
           { on_answer(server, metadata); }),
       stages_(io_, settings_, protocol_, state_, peers_, connections_,
               listener_, metrics_),
+      prompts_(state_.quarantine(), metrics_,
+               [this](bool found_here) { quarantine_changed(found_here); }),
       updater_(
           state_, [this] { topology_changed(); },
           [this](const std::string& id) { remove_server(id); }),
-      context_{io_,    settings_,    protocol_, metrics_,
-               state_, connections_, stages_,   listener_},
+      context_{io_,          settings_, protocol_, metrics_, state_,
+               connections_, stages_,   prompts_,  listener_},
       reader_activation_(io_),
       updates_(io_, state_, updater_, reader_activation_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
@@ -152,8 +154,8 @@
     peer_server_ = std::make_unique<peer_server>(io_, peers_.self().address,
                                                  stages_, updates_);
     heartbeats_ = std::make_unique<peer_heartbeats>(
-        io_, peers_, stages_, settings_.seeds, [this] { topology_changed(); },
-        metrics_);
+        io_, peers_, stages_, prompts_, settings_.seeds,
+        [this] { topology_changed(); }, metrics_);
     update_follower_ = std::make_unique<update_follower>(
         io_, state_, updater_, peers_, reader_activation_,
         backend_caller(io_, protocol_, connections_, nullptr), metrics_);
@@ -222,6 +224,18 @@
     }
 }
 
+void gateway_server::quarantine_changed(bool found_here)
+{
+    for (auto* request : context_.open_requests)
+    {
+        request->quarantine_changed();
+    }
+    if (found_here && heartbeats_)
+    {
+        heartbeats_->send_to_all();
+    }
+}
+
 void gateway_server::accept_callers()
 {
     caller_acceptor_ = std::make_shared<tcp::acceptor>(
@@ -323,6 +337,11 @@
         response.set(http::field::content_type, "application/json");
         response.body() = status_text();
     }
+    else if (request.target() == "/quarantine")
+    {
+        response.set(http::field::content_type, "application/json");
+        response.body() = prompts_.status_text();
+    }
     else
     {
         response.result(http::status::not_found);
@@ -342,6 +361,7 @@
                           {"reads_platform", reader_activation_.is_active()},
                           {"backend_servers", state_.directory().size()},
                           {"peers", peers_.size()},
+                          {"quarantined_parts", prompts_.size()},
                           {"open_requests", context_.open_requests.size()},
                           {"open_callers", context_.open_callers}};
     return status.dump(2) + "\n";
@@ -428,6 +448,7 @@
         const auto now = boot_clock::now();
         updater_.on_time(now);
         connections_.close_idle(now);
+        prompts_.expire();
         state_.set_process_count(peers_.max_recent_processes(now));
         const bool ready = state_.ready(now);
         if (ready != was_ready_)
--- a/src/connection/gateway_server.hpp
+++ b/src/connection/gateway_server.hpp
@@ -6,6 +6,7 @@
 #include "connection/asio_types.hpp"
 #include "connection/backend_pool.hpp"
 #include "connection/gateway_context.hpp"
+#include "connection/prompt_guard.hpp"
 #include "connection/stage_dispatcher.hpp"
 #include "connection/store_reader_activation.hpp"
 #include "connection/update_source.hpp"
@@ -61,6 +62,7 @@
     void on_answer(const backend_server& server,
                    const answer_metadata& metadata);
     void topology_changed();
+    void quarantine_changed(bool found_here);
     void accept_callers();
     /// Refuses requests from now on. Connections that wait are accepted first.
     void reject_requests();
@@ -86,6 +88,7 @@
     peer_directory peers_;
     answer_listener listener_;
     stage_dispatcher stages_;
+    prompt_guard prompts_;
     gateway_state_updater updater_;
     gateway_context context_;
     std::shared_ptr<tcp::acceptor> caller_acceptor_;
--- a/src/connection/peer_heartbeats.cpp
+++ b/src/connection/peer_heartbeats.cpp
@@ -4,10 +4,13 @@
 #include "base/metrics.hpp"
 #include "connection/failure_log.hpp"
 #include "connection/listening_socket.hpp"
+#include "connection/prompt_guard.hpp"
+#include "connection/prompt_message.hpp"
 #include "connection/stage_dispatcher.hpp"
 #include "connection/task_message.hpp"
 #include "gateway.pb.h"
 #include "process/peer_directory.hpp"
+#include "request/prompt_quarantine.hpp"
 
 #include <absl/random/distributions.h>
 
@@ -30,26 +33,31 @@
 /// other.
 constexpr std::size_t addresses_per_heartbeat = 6;
 
-/// The first heartbeats carry addresses, so that a new process is discovered
-/// quickly, and then one in every heartbeats_per_address_list. Distant
-/// processes get every third or ninth heartbeat, so the number must not be a
-/// multiple of 3.
+/// The first heartbeats carry addresses and all suspicions, so that a new
+/// process is discovered and learns quickly, and then one in every
+/// heartbeats_per_address_list. Distant processes get every third or ninth
+/// heartbeat, so the number must not be a multiple of 3.
 constexpr std::uint64_t initial_heartbeats = 20;
 constexpr std::uint64_t heartbeats_per_address_list = 7;
 
 constexpr milliseconds seed_interval{2000};
 
+/// Ages in datagrams that are read after a longer pause may be wrong, since the
+/// process may have been suspended.
+constexpr milliseconds max_receipt_gap{1000};
+
 constexpr double weight_scale = 1000;
 
 } // namespace
 
 peer_heartbeats::peer_heartbeats(asio::io_context& io, peer_directory& peers,
                                  stage_dispatcher& stages,
+                                 prompt_guard& prompts,
                                  std::vector<std::string> seeds,
                                  std::function<void()> changed,
                                  metrics_registry& metrics)
-    : io_(io), peers_(peers), stages_(stages), seeds_(std::move(seeds)),
-      changed_(std::move(changed)),
+    : io_(io), peers_(peers), stages_(stages), prompts_(prompts),
+      seeds_(std::move(seeds)), changed_(std::move(changed)),
       sent_(metrics.counter("mangolink_beats_total", "how=\"sent\"")),
       received_(metrics.counter("mangolink_beats_total", "how=\"received\"")),
       invalid_(metrics.counter("mangolink_beats_total", "how=\"unreadable\"")),
@@ -107,6 +115,9 @@
         {
             co_return;
         }
+        const auto now = boot_clock::now();
+        const bool delayed = now - last_receipt_ > max_receipt_gap;
+        last_receipt_ = now;
         // Reads all pending datagrams per wake-up.
         while (!error)
         {
@@ -115,7 +126,7 @@
                 socket_.receive_from(asio::buffer(buffer_), from, 0, error);
             if (!error)
             {
-                process_datagram(size);
+                process_datagram(size, delayed);
             }
         }
     }
@@ -152,7 +163,7 @@
                     milliseconds(static_cast<std::int64_t>(needed_ms)));
 }
 
-void peer_heartbeats::process_datagram(std::size_t size)
+void peer_heartbeats::process_datagram(std::size_t size, bool delayed)
 {
     wire::gateway_heartbeat heartbeat;
     if (!heartbeat.ParseFromArray(buffer_.data(), static_cast<int>(size)))
@@ -187,6 +198,10 @@
     {
         stages_.update_load_report(report.server(), read_load_report(report));
     }
+    if (!delayed)
+    {
+        merge_prompts(heartbeat);
+    }
     if (change == peer_change::none)
     {
         return;
@@ -202,6 +217,16 @@
     changed_();
 }
 
+void peer_heartbeats::merge_prompts(const wire::gateway_heartbeat& heartbeat)
+{
+    const auto now = boot_clock::now();
+    prompts_.record_outcomes(heartbeat.name(), read_outcomes(heartbeat, now));
+    for (const auto& suspicion : heartbeat.prompts())
+    {
+        prompts_.merge(read_suspicion(suspicion, now));
+    }
+}
+
 std::string
 peer_heartbeats::encode(const std::vector<named_load_report>& load_reports)
 {
@@ -220,8 +245,15 @@
         write_load_report(report.server->id, report.load_report,
                           *heartbeat.add_outlooks());
     }
-    if (heartbeat_number_ < initial_heartbeats ||
-        heartbeat_number_ % heartbeats_per_address_list == 0)
+    const auto now = boot_clock::now();
+    write_outcomes(prompts_.outcomes(), now, heartbeat);
+    const bool complete = heartbeat_number_ < initial_heartbeats ||
+                          heartbeat_number_ % heartbeats_per_address_list == 0;
+    for (const auto& suspicion : prompts_.report(complete))
+    {
+        write_suspicion(suspicion, now, *heartbeat.add_prompts());
+    }
+    if (complete)
     {
         auto known = peers_.live_addresses();
         std::shuffle(known.begin(), known.end(), random_);
--- a/src/connection/peer_heartbeats.hpp
+++ b/src/connection/peer_heartbeats.hpp
@@ -14,22 +14,30 @@
 namespace mangolink
 {
 
+namespace wire
+{
+class gateway_heartbeat;
+} // namespace wire
+
 class event_counter;
 class metrics_registry;
 class peer_directory;
+class prompt_guard;
 class stage_dispatcher;
 enum class heartbeat_kind : std::uint8_t;
 struct named_load_report;
 
 /// Sends and receives heartbeat datagrams between processes of the same role,
-/// which report liveness and the load of stage servers. Lost datagrams are not
+/// which report liveness, the load of stage servers and prompts that may crash
+/// servers. Lost datagrams are not
 /// retransmitted, since the next one supersedes them. Used by one thread.
 class peer_heartbeats final
 {
 public:
     /// Starts immediately. `changed` is called after a peer joined or left.
     peer_heartbeats(asio::io_context& io, peer_directory& peers,
-                    stage_dispatcher& stages, std::vector<std::string> seeds,
+                    stage_dispatcher& stages, prompt_guard& prompts,
+                    std::vector<std::string> seeds,
                     std::function<void()> changed, metrics_registry& metrics);
     ~peer_heartbeats();
 
@@ -48,7 +56,9 @@
 
     /// Returns the time between two heartbeats.
     milliseconds interval() const;
-    void process_datagram(std::size_t size);
+    /// `delayed`: the datagram may have waited while the process did not run.
+    void process_datagram(std::size_t size, bool delayed);
+    void merge_prompts(const wire::gateway_heartbeat& heartbeat);
     void send(std::uint64_t heartbeat_number);
     std::string encode(const std::vector<named_load_report>& load_reports);
     void add_seed_addresses(boot_clock::time_point now);
@@ -56,6 +66,7 @@
     asio::io_context& io_;
     peer_directory& peers_;
     stage_dispatcher& stages_;
+    prompt_guard& prompts_;
     std::vector<std::string> seeds_;
     std::function<void()> changed_;
     event_counter& sent_;
@@ -63,6 +74,7 @@
     event_counter& invalid_;
     std::uint64_t heartbeat_number_ = 0; ///< heartbeats sent so far
     heartbeat_kind kind_;                ///< of the last one
+    boot_clock::time_point last_receipt_;
     absl::BitGen random_;
     asio::ip::udp::socket socket_;
     std::array<char, 64 * 1024> buffer_{};
--- a/src/connection/request_check.cpp
+++ b/src/connection/request_check.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 #include "connection/gateway_context.hpp"
 #include "connection/http_headers.hpp"
+#include "connection/prompt_guard.hpp"
 #include "connection/stage_dispatcher.hpp"
 #include "request/stage_plan.hpp"
 #include "roles/gateway_settings.hpp"
@@ -65,6 +66,10 @@
     {
         return refused;
     }
+    if (auto refused = check_prompt())
+    {
+        return refused;
+    }
     result_.deadline =
         result_.arrival +
         std::min(result_.metadata.time_left.value_or(result_.route->time_limit),
@@ -157,6 +162,11 @@
     return check_stage_time();
 }
 
+std::optional<refusal> request_check::check_prompt() const
+{
+    return context_.prompts.check(result_.metadata.prompt);
+}
+
 std::optional<refusal> request_check::check_stage_time()
 {
     const auto& stages = result_.route->stages;
--- a/src/connection/request_check.hpp
+++ b/src/connection/request_check.hpp
@@ -37,6 +37,7 @@
     std::optional<refusal> check_process() const;
     std::optional<refusal> check_route();
     std::optional<refusal> check_customer();
+    std::optional<refusal> check_prompt() const;
     std::optional<refusal> check_capacity();
     std::optional<refusal> check_stage_time();
     void choose_service();
--- /dev/null
+++ b/src/request/prompt_quarantine.cpp
@@ -0,0 +1,588 @@
+#include "request/prompt_quarantine.hpp"
+
+#include "request/prompt_parts.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace mangolink
+{
+namespace
+{
+
+/// Crashes before a part is quarantined, and the number if servers have given
+/// output for it before.
+constexpr std::size_t min_crashes = 3;
+constexpr std::size_t min_crashes_if_sound = 5;
+
+/// A sound part meets as many crashes in a row with at most this probability.
+constexpr double max_false_probability = 1e-4;
+
+/// Crashes closer to each other than this count as one.
+constexpr milliseconds min_crash_distance{200};
+
+/// Number of crashes remembered of a part.
+constexpr std::size_t max_crashes = 16;
+
+constexpr std::size_t max_records = 1024;
+constexpr std::size_t max_output_times = 2048; ///< of each generation
+
+/// Recent outcomes halve in this time.
+constexpr milliseconds outcome_half_life{5000};
+
+/// Outcomes assumed in addition to those known.
+constexpr double assumed_outputs = 50;
+constexpr double assumed_crashes = 1;
+
+/// Outcomes of a process below this number are forgotten.
+constexpr double negligible_outcomes = 0.1;
+
+/// Ages grow by the time that reports are under way.
+constexpr milliseconds age_error{1000};
+
+/// How long a change is part of every report.
+constexpr milliseconds fresh_time{5000};
+
+/// Parts in a report, of each kind.
+constexpr std::size_t max_reported_quarantined = 4;
+constexpr std::size_t max_reported_suspected = 8;
+
+/// A part that expires within this time is not taken over from others.
+constexpr milliseconds expiry_margin{5000};
+
+/// Returns the number of crashes that are apart in time.
+std::size_t distinct_moments(const std::vector<prompt_crash>& crashes)
+{
+    std::size_t count = 0;
+    boot_clock::time_point last;
+    for (const auto& crash : crashes)
+    {
+        if (count == 0 || crash.at - last >= min_crash_distance)
+        {
+            ++count;
+            last = crash.at;
+        }
+    }
+    return count;
+}
+
+bool earlier(const prompt_crash& a, const prompt_crash& b)
+{
+    return a.at < b.at;
+}
+
+bool same_moment(const prompt_crash& a, const prompt_crash& b)
+{
+    return std::chrono::abs(a.at - b.at) < min_crash_distance;
+}
+
+template <class Visitor>
+void for_each_part(const prompt_parts& prompt, Visitor visit)
+{
+    for (const auto part : prompt.shared)
+    {
+        visit(part);
+    }
+    if (prompt.own != 0)
+    {
+        visit(prompt.own);
+    }
+}
+
+} // namespace
+
+void prompt_quarantine::decaying_outcomes::set(const prompt_outcomes& value,
+                                               time_point now)
+{
+    value_ = value;
+    at_ = now;
+}
+
+prompt_outcomes
+prompt_quarantine::decaying_outcomes::value(time_point now) const
+{
+    const std::chrono::duration<double, std::milli> age = now - at_;
+    const double factor = std::exp2(-age / outcome_half_life);
+    return {value_.outputs * factor, value_.crashes * factor,
+            value_.last_output};
+}
+
+void prompt_quarantine::output_times::add(std::uint64_t part, time_point time)
+{
+    newer_[part] = time;
+    if (newer_.size() > max_output_times)
+    {
+        older_ = std::move(newer_);
+        newer_.clear();
+    }
+}
+
+std::optional<boot_clock::time_point>
+prompt_quarantine::output_times::find(std::uint64_t part) const
+{
+    for (const auto* times : {&newer_, &older_})
+    {
+        if (const auto found = times->find(part); found != times->end())
+        {
+            return found->second;
+        }
+    }
+    return std::nullopt;
+}
+
+prompt_quarantine::prompt_quarantine(prompt_quarantine_settings settings)
+    : settings_(settings)
+{
+}
+
+std::optional<std::uint64_t>
+prompt_quarantine::find(const prompt_parts& prompt) const
+{
+    std::optional<std::uint64_t> result;
+    if (quarantined_count_ == 0)
+    {
+        return result;
+    }
+    for_each_part(prompt,
+                  [&](std::uint64_t part)
+                  {
+                      const auto found = records_.find(part);
+                      if (!result && found != records_.end() &&
+                          found->second.since)
+                      {
+                          result = part;
+                      }
+                  });
+    return result;
+}
+
+void prompt_quarantine::record_request(std::uint64_t part, time_point now)
+{
+    record* known = find_record(part);
+    if (known != nullptr && known->since)
+    {
+        known->last_request = now;
+    }
+}
+
+void prompt_quarantine::record_crash(const prompt_parts& prompt,
+                                     std::uint64_t server_start, time_point now)
+{
+    if (!settings_.enabled)
+    {
+        return;
+    }
+    const prompt_crash crash{server_start, prompt.own, now};
+    if (!find(prompt))
+    {
+        auto recent = outcomes_.value(now);
+        ++recent.crashes;
+        outcomes_.set(recent, now);
+    }
+    for_each_part(prompt,
+                  [&](std::uint64_t part) { add_crash(part, crash, now); });
+    bool quarantined = false;
+    for_each_part(prompt,
+                  [&](std::uint64_t part)
+                  {
+                      record* known = find_record(part);
+                      if (known != nullptr && is_guilty(part, *known, now))
+                      {
+                          quarantine(*known, now);
+                          quarantined = true;
+                      }
+                  });
+    if (quarantined)
+    {
+        forget_explained_crashes();
+    }
+}
+
+void prompt_quarantine::record_output(const prompt_parts& prompt,
+                                      time_point now)
+{
+    if (!settings_.enabled)
+    {
+        return;
+    }
+    auto recent = outcomes_.value(now);
+    ++recent.outputs;
+    recent.last_output = now;
+    outcomes_.set(recent, now);
+    for (const auto part : prompt.shared)
+    {
+        outputs_.add(part, now);
+    }
+    for_each_part(prompt,
+                  [&](std::uint64_t part)
+                  {
+                      if (record* known = find_record(part))
+                      {
+                          clear(*known, now, now);
+                      }
+                  });
+}
+
+bool prompt_quarantine::release(std::uint64_t part, time_point now)
+{
+    record* known = find_record(part);
+    if (known == nullptr || !known->since)
+    {
+        return false;
+    }
+    clear(*known, now, now);
+    return true;
+}
+
+void prompt_quarantine::merge(const prompt_suspicion& other, time_point now)
+{
+    auto latest = other.last_request.value_or(time_point::min());
+    for (const auto& crash : other.crashes)
+    {
+        latest = std::max(latest, crash.at);
+    }
+    if (!settings_.enabled ||
+        (!other.cleared && latest + settings_.quiet_time < now + expiry_margin))
+    {
+        return;
+    }
+    for (const auto& crash : other.crashes)
+    {
+        if (!other.cleared || crash.at > *other.cleared)
+        {
+            add_crash(other.part, crash, now);
+        }
+    }
+    record* known = find_record(other.part);
+    if (known == nullptr)
+    {
+        return;
+    }
+    if (other.cleared)
+    {
+        clear(*known, *other.cleared, now);
+    }
+    const bool taken_over = other.last_request && !known->crashes.empty() &&
+                            distinct_moments(known->crashes) >= min_crashes;
+    if (!known->since && (taken_over || is_guilty(other.part, *known, now)))
+    {
+        quarantine(*known, now);
+        forget_explained_crashes();
+    }
+    if (known->since && other.last_request &&
+        *other.last_request > known->last_request + age_error)
+    {
+        known->last_request = *other.last_request;
+    }
+}
+
+prompt_outcomes prompt_quarantine::outcomes(time_point now) const
+{
+    return outcomes_.value(now);
+}
+
+void prompt_quarantine::set_outcomes_of(const std::string& process,
+                                        const prompt_outcomes& outcomes,
+                                        time_point now)
+{
+    outcomes_of_others_[process].set(outcomes, now);
+}
+
+void prompt_quarantine::expire(time_point now)
+{
+    absl::erase_if(outcomes_of_others_,
+                   [now](const auto& entry)
+                   {
+                       const auto recent = entry.second.value(now);
+                       return recent.outputs + recent.crashes <
+                              negligible_outcomes;
+                   });
+    for (auto entry = records_.begin(); entry != records_.end();)
+    {
+        const auto current = entry++;
+        if (expired(current->second, now))
+        {
+            release(current->second, now);
+            records_.erase(current);
+        }
+    }
+}
+
+std::vector<prompt_suspicion> prompt_quarantine::report(bool all,
+                                                        time_point now)
+{
+    std::vector<std::pair<std::uint64_t, record*>> quarantined;
+    std::vector<std::pair<std::uint64_t, record*>> suspected;
+    for (auto& [part, known] : records_)
+    {
+        if (known.since)
+        {
+            quarantined.emplace_back(part, &known);
+        }
+        else if (all || now - known.changed < fresh_time)
+        {
+            suspected.emplace_back(part, &known);
+        }
+    }
+    const auto reported_earlier = [](const auto& a, const auto& b)
+    { return a.second->reported < b.second->reported; };
+    std::sort(quarantined.begin(), quarantined.end(), reported_earlier);
+    quarantined.resize(std::min(quarantined.size(), max_reported_quarantined));
+    std::sort(suspected.begin(), suspected.end(),
+              [&](const auto& a, const auto& b)
+              {
+                  const auto crashes_a = a.second->crashes.size();
+                  const auto crashes_b = b.second->crashes.size();
+                  return crashes_a != crashes_b ? crashes_a > crashes_b
+                                                : reported_earlier(a, b);
+              });
+    suspected.resize(std::min(suspected.size(), max_reported_suspected));
+    ++reports_;
+    std::vector<prompt_suspicion> result;
+    for (const auto* list : {&quarantined, &suspected})
+    {
+        for (const auto& [part, known] : *list)
+        {
+            known->reported = reports_;
+            prompt_suspicion suspicion{part, known->crashes, known->cleared,
+                                       std::nullopt};
+            if (known->since)
+            {
+                suspicion.last_request = known->last_request;
+            }
+            result.push_back(std::move(suspicion));
+        }
+    }
+    return result;
+}
+
+std::vector<quarantined_part> prompt_quarantine::quarantined() const
+{
+    std::vector<quarantined_part> result;
+    for (const auto& [part, known] : records_)
+    {
+        if (known.since)
+        {
+            result.push_back(
+                {part, *known.since, known.last_request, known.crashes.size()});
+        }
+    }
+    return result;
+}
+
+prompt_quarantine::record* prompt_quarantine::find_record(std::uint64_t part)
+{
+    const auto found = records_.find(part);
+    return found == records_.end() ? nullptr : &found->second;
+}
+
+prompt_quarantine::record& prompt_quarantine::record_of(std::uint64_t part)
+{
+    if (!records_.contains(part) && records_.size() >= max_records)
+    {
+        make_room();
+    }
+    record& known = records_[part];
+    if (!known.cleared)
+    {
+        known.cleared = outputs_.find(part);
+    }
+    return known;
+}
+
+void prompt_quarantine::add_crash(std::uint64_t part, const prompt_crash& crash,
+                                  time_point now)
+{
+    record* known = find_record(part);
+    const bool quarantined = known != nullptr && known->since.has_value();
+    if (!quarantined && is_explained(crash))
+    {
+        return;
+    }
+    known = &record_of(part);
+    if (known->cleared && crash.at <= *known->cleared)
+    {
+        known->changed = now; // tells the process that reported the crash
+        return;
+    }
+    auto& crashes = known->crashes;
+    const auto same_start =
+        std::find_if(crashes.begin(), crashes.end(),
+                     [&crash](const prompt_crash& other)
+                     { return other.server_start == crash.server_start; });
+    if (same_start != crashes.end())
+    {
+        // A report that was longer under way shows a later time.
+        same_start->at = std::min(same_start->at, crash.at);
+        std::sort(crashes.begin(), crashes.end(), earlier);
+        return;
+    }
+    const bool counted = std::any_of(crashes.begin(), crashes.end(),
+                                     [&crash](const prompt_crash& other)
+                                     { return same_moment(other, crash); });
+    if ((counted && !quarantined) || crashes.size() >= max_crashes)
+    {
+        return;
+    }
+    crashes.insert(
+        std::upper_bound(crashes.begin(), crashes.end(), crash, earlier),
+        crash);
+    known->changed = now;
+    if (quarantined)
+    {
+        forget_explained_crashes();
+    }
+}
+
+void prompt_quarantine::clear(record& known, time_point at, time_point now)
+{
+    const auto cleared =
+        std::erase_if(known.crashes, [at](const prompt_crash& crash)
+                      { return crash.at <= at; });
+    if (cleared == 0 && known.cleared && at < *known.cleared + age_error)
+    {
+        return;
+    }
+    known.cleared = std::max(at, known.cleared.value_or(at));
+    known.changed = cleared > 0 ? now : known.changed;
+    if (known.crashes.empty())
+    {
+        release(known, now);
+    }
+}
+
+bool prompt_quarantine::is_explained(const prompt_crash& crash) const
+{
+    if (quarantined_count_ == 0)
+    {
+        return false;
+    }
+    return std::any_of(
+        records_.begin(), records_.end(),
+        [&crash](const auto& entry)
+        {
+            const record& known = entry.second;
+            return known.since &&
+                   std::any_of(known.crashes.begin(), known.crashes.end(),
+                               [&crash](const prompt_crash& other)
+                               {
+                                   return other.server_start ==
+                                              crash.server_start ||
+                                          same_moment(other, crash);
+                               });
+        });
+}
+
+bool prompt_quarantine::is_guilty(std::uint64_t part, const record& known,
+                                  time_point now) const
+{
+    if (known.since || known.crashes.size() < min_crashes)
+    {
+        return false;
+    }
+    const auto all = total_outcomes(now);
+    // Without output for others there is nothing to compare with.
+    const auto& before_last = known.crashes[known.crashes.size() - 2];
+    const bool others_go_on =
+        all.last_output && *all.last_output > before_last.at;
+    const auto request = known.crashes.front().request;
+    const bool several_requests =
+        std::any_of(known.crashes.begin(), known.crashes.end(),
+                    [request](const prompt_crash& crash)
+                    { return crash.request != request; });
+    const auto own_crashes = static_cast<double>(known.crashes.size());
+    const double other_crashes =
+        std::max(0.0, all.crashes - own_crashes) + assumed_crashes;
+    const double crash_rate =
+        other_crashes / (other_crashes + all.outputs + assumed_outputs);
+    const auto needed = static_cast<std::size_t>(
+        std::ceil(std::log(max_false_probability) / std::log(crash_rate)));
+    const auto least = known.cleared ? min_crashes_if_sound : min_crashes;
+    return others_go_on && (several_requests || request == part) &&
+           distinct_moments(known.crashes) >= std::max(least, needed);
+}
+
+void prompt_quarantine::quarantine(record& known, time_point now)
+{
+    known.since = now;
+    known.last_request = now;
+    known.changed = now;
+    ++quarantined_count_;
+    ++changes_;
+}
+
+void prompt_quarantine::release(record& known, time_point now)
+{
+    if (known.since)
+    {
+        known.since.reset();
+        known.changed = now;
+        --quarantined_count_;
+        ++changes_;
+    }
+}
+
+void prompt_quarantine::forget_explained_crashes()
+{
+    for (auto& [part, known] : records_)
+    {
+        if (!known.since)
+        {
+            std::erase_if(known.crashes, [this](const prompt_crash& crash)
+                          { return is_explained(crash); });
+        }
+    }
+}
+
+prompt_outcomes prompt_quarantine::total_outcomes(time_point now) const
+{
+    auto total = outcomes_.value(now);
+    for (const auto& [process, outcomes] : outcomes_of_others_)
+    {
+        const auto recent = outcomes.value(now);
+        total.outputs += recent.outputs;
+        total.crashes += recent.crashes;
+        if (recent.last_output)
+        {
+            total.last_output =
+                std::max(*recent.last_output,
+                         total.last_output.value_or(*recent.last_output));
+        }
+    }
+    return total;
+}
+
+bool prompt_quarantine::expired(const record& known, time_point now) const
+{
+    if (known.since)
+    {
+        return now - known.last_request > settings_.quiet_time;
+    }
+    return known.crashes.empty()
+               ? now - known.changed > fresh_time
+               : now - known.crashes.back().at > settings_.quiet_time;
+}
+
+void prompt_quarantine::make_room()
+{
+    const auto least = std::min_element(
+        records_.begin(), records_.end(),
+        [](const auto& a, const auto& b)
+        {
+            const auto rank = [](const record& known)
+            {
+                return std::tuple(known.since.has_value(), known.crashes.size(),
+                                  known.changed);
+            };
+            return rank(a.second) < rank(b.second);
+        });
+    if (least->second.since)
+    {
+        release(least->second, least->second.changed);
+    }
+    records_.erase(least);
+}
+
+} // namespace mangolink
--- a/src/roles/gateway_settings.cpp
+++ b/src/roles/gateway_settings.cpp
@@ -50,6 +50,11 @@
         "retries.window_ms", result.retry_window, milliseconds(100), hours(1));
     result.retry_slack =
         reader.number("retries.slack", result.retry_slack, 0, 1e9);
+    result.quarantine.enabled =
+        reader.boolean("quarantine.enabled", result.quarantine.enabled);
+    result.quarantine.quiet_time = reader.duration_ms(
+        "quarantine.quiet_time_ms", result.quarantine.quiet_time,
+        std::chrono::seconds(10), hours(24));
     return result;
 }
 
--- a/src/roles/gateway_settings.hpp
+++ b/src/roles/gateway_settings.hpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.hpp"
 #include "base/log.hpp"
+#include "request/prompt_quarantine.hpp"
 
 #include <cstdint>
 #include <map>
@@ -32,6 +33,7 @@
     double retry_ratio = 0.2;
     milliseconds retry_window{10'000};
     double retry_slack = 0; ///< shared by all gateways
+    prompt_quarantine_settings quarantine;
     std::uint32_t max_descriptors = 1024;
     double processor_share = 1; ///< in cores
     std::uint64_t memory_bytes = 256ULL * 1024 * 1024;
--- a/src/roles/gateway_state.cpp
+++ b/src/roles/gateway_state.cpp
@@ -36,7 +36,7 @@
       slack_share_(1.0 / assumed_processes),
       freshness_(settings.revocation_limit, freshness_margin),
       directory_(suspicion_timeout, place_of(settings)),
-      balancer_(place_of(settings))
+      balancer_(place_of(settings)), quarantine_(settings.quarantine)
 {
 }
 
--- a/src/roles/gateway_state.hpp
+++ b/src/roles/gateway_state.hpp
@@ -4,6 +4,7 @@
 #include "process/backend_directory.hpp"
 #include "process/server_holds.hpp"
 #include "request/direct_balancer.hpp"
+#include "request/prompt_quarantine.hpp"
 #include "request/stage_time_estimator.hpp"
 #include "request/windowed_retry_budget.hpp"
 #include "version/configuration_freshness.hpp"
@@ -69,6 +70,7 @@
     server_holds& holds() { return holds_; }
     direct_balancer& balancer() { return balancer_; }
     stage_time_estimator& stage_times() { return stage_times_; }
+    prompt_quarantine& quarantine() { return quarantine_; }
 
 private:
     windowed_retry_budget_settings retry_budget_settings_;
@@ -79,6 +81,7 @@
     server_holds holds_;
     direct_balancer balancer_;
     stage_time_estimator stage_times_;
+    prompt_quarantine quarantine_;
     absl::flat_hash_map<std::string, windowed_retry_budget> retry_budgets_;
     bool servers_listed_ = false;
 };
--- a/tests/platform/query_of_death_test.cpp
+++ b/tests/platform/query_of_death_test.cpp
@@ -150,13 +150,21 @@
     {
         for (unsigned i = 0; !stopping_; ++i)
         {
-            test_caller connection(address);
-            const auto answer = connection.send_request(
+            const auto request =
                 prompt_request(absl::StrCat("sound-", caller, "-", i),
-                               absl::StrCat("bb0", i % 9)));
-            const unsigned status = answer ? answer->result_int() : 0;
-            served_ += status == 200 ? 1 : 0;
-            refused_ += status == 503 ? 1 : 0;
+                               absl::StrCat("bb0", i % 9));
+            try
+            {
+                test_caller connection(address);
+                const auto answer = connection.send_request(request);
+                const unsigned status = answer ? answer->result_int() : 0;
+                served_ += status == 200 ? 1 : 0;
+                refused_ += status == 503 ? 1 : 0;
+            }
+            catch (const boost::system::system_error&)
+            {
+                // The gateway is down.
+            }
             std::this_thread::sleep_for(milliseconds(10));
         }
     }
@@ -184,6 +192,10 @@
 {
     CPPUNIT_TEST_SUITE(query_of_death_test);
     CPPUNIT_TEST(a_part_that_crashes_servers_stops_reaching_them);
+    CPPUNIT_TEST(a_restarted_and_a_paused_gateway_learn_what_is_refused);
+    CPPUNIT_TEST(a_refused_request_costs_no_stage_work);
+    CPPUNIT_TEST(crashes_of_many_servers_at_once_refuse_nobody);
+    CPPUNIT_TEST(a_disabled_quarantine_refuses_nothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -221,6 +233,158 @@
         section("no request that shares its other parts is refused",
                 [&] { CPPUNIT_ASSERT_EQUAL(0U, sound.refused()); });
     }
+
+    void a_restarted_and_a_paused_gateway_learn_what_is_refused()
+    {
+        test_cluster cluster;
+        engine_pool pool(cluster, 8, milliseconds(300));
+        for (int i = 0; i < 3; ++i)
+        {
+            cluster.start_gateway();
+        }
+        sound_callers sound(cluster, {0, 1});
+        auto& paused = cluster.gateway(2);
+        paused.process().signal(SIGSTOP);
+        quarantine(cluster.gateway(0));
+        auto& restarted = cluster.gateway(1);
+        restarted.process().signal(SIGKILL);
+        restarted.process().wait(milliseconds(5000));
+        restarted.start();
+        CPPUNIT_ASSERT(bench::wait_until([&] { return restarted.ready(); }));
+        paused.process().signal(SIGCONT);
+        for (auto* gateway : {&restarted, &paused})
+        {
+            section(gateway->settings_path(),
+                    [&]
+                    {
+                        CPPUNIT_ASSERT(bench::wait_until(
+                            [&] { return quarantined_parts(*gateway) == 1; },
+                            contact_time));
+                        const auto begin = boot_clock::now();
+                        CPPUNIT_ASSERT_EQUAL(503U, send_deadly(*gateway));
+                        CPPUNIT_ASSERT_EQUAL(std::size_t(0),
+                                             pool.deadly_sends_after(begin));
+                    });
+        }
+    }
+
+    void a_refused_request_costs_no_stage_work()
+    {
+        test_cluster cluster;
+        auto& stage =
+            cluster.add_stage_server("encode", "encode-1", milliseconds(20));
+        cluster.add_stage(cluster.add_route("/staged/", "streaming", "engine"));
+        engine_pool pool(cluster, 6, milliseconds(300));
+        auto& gateway = cluster.start_gateway();
+        {
+            sound_callers sound(cluster, {0});
+            quarantine(gateway);
+        }
+        const auto calls = stage.received().size();
+        test_caller caller(gateway.callers());
+        auto request = cluster.staged_request("/staged/x", "r");
+        request.set("X-Prompt-Prefix",
+                    absl::StrCat("cc07:10,", deadly_part, ":300,ee01:100"));
+        const auto begin = boot_clock::now();
+        const auto answer = caller.send_request(request);
+        section(
+            "the refusal comes at once and names a time beyond the deadline",
+            [&]
+            {
+                CPPUNIT_ASSERT(answer);
+                CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+                CPPUNIT_ASSERT_EQUAL(std::string("600.000"),
+                                     std::string((*answer)["Retry-After"]));
+                CPPUNIT_ASSERT(boot_clock::now() - begin < milliseconds(200));
+            });
+        section("no stage server got an item",
+                [&] { CPPUNIT_ASSERT_EQUAL(calls, stage.received().size()); });
+        section("operators see what is refused, why and since when",
+                [&]
+                {
+                    const auto page = nlohmann::json::parse(
+                        gateway.fetch_operator_page("/quarantine"));
+                    const auto& part = page["parts"][0];
+                    CPPUNIT_ASSERT_EQUAL(std::string(deadly_part),
+                                         part["part"].get<std::string>());
+                    CPPUNIT_ASSERT(part["crashes"].get<int>() >= 3);
+                    CPPUNIT_ASSERT(part["since_ms_ago"].get<int>() >= 0);
+                    CPPUNIT_ASSERT(part["refused"].get<int>() >= 1);
+                    CPPUNIT_ASSERT(bench::wait_until(
+                        [&] {
+                            return gateway.log_text().find(
+                                       "Part quarantined") != std::string::npos;
+                        },
+                        milliseconds(1000)));
+                });
+    }
+
+    void crashes_of_many_servers_at_once_refuse_nobody()
+    {
+        test_cluster cluster;
+        engine_pool pool(cluster, 8, milliseconds(400));
+        for (int i = 0; i < 2; ++i)
+        {
+            cluster.start_gateway();
+        }
+        sound_callers sound(cluster, {0, 1, 0, 1});
+        for (std::size_t round = 0; round < 6; ++round)
+        {
+            std::this_thread::sleep_for(milliseconds(700));
+            for (std::size_t i = 0; i < 4; ++i)
+            {
+                pool.engines()[(round + i) % 8]->crash();
+            }
+        }
+        sound.stop();
+        CPPUNIT_ASSERT(sound.served() > 0);
+        for (std::size_t i = 0; i < 2; ++i)
+        {
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0),
+                                 quarantined_parts(cluster.gateway(i)));
+            CPPUNIT_ASSERT(cluster.gateway(i)
+                               .fetch_operator_page("/metrics")
+                               .find("mangolink_prompt_refusals_total 0") !=
+                           std::string::npos);
+        }
+    }
+
+    void a_disabled_quarantine_refuses_nothing()
+    {
+        test_cluster cluster;
+        engine_pool pool(cluster, 6, milliseconds(300));
+        auto& gateway =
+            cluster.start_gateway("[quarantine]\nenabled = false\n");
+        sound_callers sound(cluster, {0});
+        for (int i = 0; i < 10; ++i)
+        {
+            send_deadly(gateway);
+            std::this_thread::sleep_for(milliseconds(250));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), quarantined_parts(gateway));
+        CPPUNIT_ASSERT(pool.crash_times().size() > 5);
+    }
+
+private:
+    /// Sends requests with the deadly part until the gateway refuses them.
+    static void quarantine(const gateway_process& gateway)
+    {
+        CPPUNIT_ASSERT(bench::wait_until(
+            [&]
+            {
+                std::this_thread::sleep_for(milliseconds(250));
+                send_deadly(gateway);
+                return quarantined_parts(gateway) == 1;
+            },
+            milliseconds(10'000)));
+    }
+
+    static std::size_t quarantined_parts(const gateway_process& gateway)
+    {
+        const auto page = nlohmann::json::parse(
+            gateway.fetch_operator_page("/quarantine"), nullptr, false);
+        return page.is_object() ? page["parts"].size() : 0;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(query_of_death_test);
