Take no stream without framing for complete before its first event

What callers saw: 200 with a signature and an empty body, where a server had ended between the head and the first event of an answer that has neither a length nor chunks.

Cause: the end of the connection completes such an answer, and a stream counted as complete if it did not end inside an event. One without any event does not.

Evidence: stream_test::a_stream_without_framing_or_events_is_no_success got 200 before (502 expected) and passes.

Why this works: what shows such an answer's end is only its connection, so there must be at least one complete event and nothing after the last.

--- a/src/connection/backend_exchange.cpp
+++ b/src/connection/backend_exchange.cpp
@@ -104,7 +104,12 @@
             return true;
         }
     }
-    return complete() && parser_->need_eof();
+    return complete() && ends_with_connection();
+}
+
+bool backend_exchange::ends_with_connection() const
+{
+    return parser_->need_eof();
 }
 
 const http::response_header<>& backend_exchange::head() const
--- a/src/connection/backend_exchange.hpp
+++ b/src/connection/backend_exchange.hpp
@@ -66,6 +66,10 @@
     }
     const error_code& error() const { return error_; }
 
+    /// Returns whether the answer has neither a length nor chunks, so that it
+    /// ends with its connection.
+    bool ends_with_connection() const;
+
     /// Returns whether the server has closed or reset the connection, also if
     /// that completes an answer that has neither a length nor chunks.
     bool closed_by_server() const;
--- a/src/connection/forward_attempt.cpp
+++ b/src/connection/forward_attempt.cpp
@@ -261,9 +261,11 @@
         silence_ = std::max(silence_, std::chrono::duration_cast<milliseconds>(
                                           boot_clock::now() - last_event));
     }
-    // A stream that ends inside an event is incomplete.
-    end_ =
-        pending_.empty() ? attempt_outcome::answered : attempt_outcome::broken;
+    // A stream that ends inside an event is incomplete; so is one without any
+    // whose end only the connection shows.
+    const bool whole =
+        pending_.empty() && (has_output_ || !exchange_->ends_with_connection());
+    end_ = whole ? attempt_outcome::answered : attempt_outcome::broken;
 }
 
 bool forward_attempt::is_stream() const
--- a/tests/platform/stream_test.cpp
+++ b/tests/platform/stream_test.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(other_streams_end_visibly_incomplete);
     CPPUNIT_TEST(requests_of_closed_callers_are_cancelled);
     CPPUNIT_TEST(the_time_limit_of_the_route_ends_a_stream);
+    CPPUNIT_TEST(a_stream_without_framing_ends_with_its_connection);
+    CPPUNIT_TEST(a_stream_without_framing_or_events_is_no_success);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -168,6 +170,80 @@
         CPPUNIT_ASSERT(!answer);
         CPPUNIT_ASSERT(caller.partial_body().starts_with(events(1, 3)));
     }
+
+    void a_stream_without_framing_ends_with_its_connection()
+    {
+        test_cluster cluster;
+        std::vector<backend_standin*> engines;
+        for (const char* id : {"engine-1", "engine-2", "engine-3"})
+        {
+            engines.push_back(&cluster.add_backend("engine", id));
+            engines.back()->set_stream(5, milliseconds(10));
+            engines.back()->set_unframed_streams();
+        }
+        auto& route = cluster.add_route("/talk/", "streaming", "engine");
+        route["streamResume"] = true;
+        route["maxAttempts"] = 3;
+        cluster.add_route("/once/", "streaming", "engine");
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        test_caller caller(gateway.callers());
+        section("a whole one is complete",
+                [&]
+                {
+                    const auto answer =
+                        caller.send_request(cluster.request("/talk/x", "r1"));
+                    CPPUNIT_ASSERT(answer);
+                    CPPUNIT_ASSERT_EQUAL(events(1, 5), answer->body());
+                });
+        const auto break_after_two_events = [&]
+        {
+            for (auto* engine : engines)
+            {
+                engine->break_next_stream_after(2);
+            }
+        };
+        section("one that ends inside an event goes on elsewhere",
+                [&]
+                {
+                    break_after_two_events();
+                    const auto answer =
+                        caller.send_request(cluster.request("/talk/x", "r2"));
+                    CPPUNIT_ASSERT(answer);
+                    CPPUNIT_ASSERT_EQUAL(events(1, 5), answer->body());
+                    for (const auto* engine : engines)
+                    {
+                        CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                                             engine->run_count("r2"));
+                    }
+                });
+        section("or is visibly incomplete",
+                [&]
+                {
+                    break_after_two_events();
+                    test_caller other(gateway.callers());
+                    CPPUNIT_ASSERT(
+                        !other.send_request(cluster.request("/once/x", "r3")));
+                    CPPUNIT_ASSERT_EQUAL(events(1, 2), other.partial_body());
+                });
+    }
+
+    void a_stream_without_framing_or_events_is_no_success()
+    {
+        test_cluster cluster;
+        auto& engine = cluster.add_backend("engine", "engine-1");
+        engine.set_stream(5, milliseconds(10));
+        engine.set_unframed_streams();
+        cluster.add_route("/talk/", "streaming", "engine");
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        engine.break_next_stream_after_head();
+        test_caller caller(gateway.callers());
+        const auto answer =
+            caller.send_request(cluster.request("/talk/x", "r"));
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(502U, answer->result_int());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(stream_test);
