Reset the connection of a caller without chunks when its stream is cut

Evidence: stream_test::a_caller_without_chunks_sees_that_a_stream_was_cut failed before (an answer where none may look complete) and passes.

Why this works: a reset is the only end that such a caller can tell from that of a complete answer.

--- a/src/connection/caller_session.cpp
+++ b/src/connection/caller_session.cpp
@@ -173,6 +173,12 @@
 
 void caller_session::cut()
 {
+    if (!chunked_)
+    {
+        // A plain close would look like the end of the answer.
+        error_code ignored; // the connection closes in any case
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     close();
 }
 
--- a/tests/platform/stream_test.cpp
+++ b/tests/platform/stream_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(the_time_limit_of_the_route_ends_a_stream);
     CPPUNIT_TEST(a_stream_without_framing_ends_with_its_connection);
     CPPUNIT_TEST(a_stream_without_framing_or_events_is_no_success);
+    CPPUNIT_TEST(a_caller_without_chunks_sees_that_a_stream_was_cut);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -244,6 +245,27 @@
         CPPUNIT_ASSERT(answer);
         CPPUNIT_ASSERT_EQUAL(502U, answer->result_int());
     }
+
+    void a_caller_without_chunks_sees_that_a_stream_was_cut()
+    {
+        test_cluster cluster;
+        auto& engine = cluster.add_backend("engine", "engine-1");
+        engine.set_stream(5, milliseconds(10));
+        cluster.add_route("/talk/", "streaming", "engine");
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        for (const char* id : {"whole", "cut"})
+        {
+            const bool whole = std::string(id) == "whole";
+            engine.break_next_stream_after(whole ? 0 : 2);
+            auto request = cluster.request("/talk/x", id);
+            request.version(10);
+            test_caller caller(gateway.callers());
+            const auto answer = caller.send_request(request);
+            section(id,
+                    [&] { CPPUNIT_ASSERT_EQUAL(whole, answer.has_value()); });
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(stream_test);
