Soak: play a part of prompts that crashes engines, and crashes of many

One in 20 stream requests has a part that crashes every engine; half of the engines crash at once at times. Checked: gateways in touch for 4 s send at most 3 requests with the part later than 4 s after the fifth crash, and nobody is refused for another part.

--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -54,6 +54,7 @@
 {
     std::mt19937_64 random(seed * 1000 + number);
     std::unique_ptr<test_caller> connection;
+    std::size_t gateway = 0;
     std::string key = cluster_.key();
     for (unsigned count = 0; !stopping_; ++count)
     {
@@ -64,20 +65,28 @@
         record.id = "c" + std::to_string(number) + "-" + std::to_string(count);
         record.kind = static_cast<soak_kind>(random() % 5);
         record.key = random() % 4 == 0 ? key : test_key;
+        if (record.kind == soak_kind::resumable_stream ||
+            record.kind == soak_kind::plain_stream)
+        {
+            record.part = random() % 20 == 0
+                              ? deadly_part
+                              : "bb0" + std::to_string(random() % 9);
+        }
         const bool leaves_early = random() % 20 == 0;
         try
         {
             if (!connection)
             {
-                const auto index = random() % cluster_.gateways();
+                gateway = random() % cluster_.gateways();
                 connection = std::make_unique<test_caller>(
-                    cluster_.gateway(index).callers());
+                    cluster_.gateway(gateway).callers());
             }
         }
         catch (const boost::system::system_error&)
         {
             continue; // the process is down; nothing was sent
         }
+        record.gateway = gateway;
         record.sent = boot_clock::now();
         const auto answer = connection->send_request(
             request_of(record),
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_checks.hpp"
 
 #include "soak/soak_cluster.hpp"
+#include "soak/soak_faults.hpp"
 
 #include <absl/strings/str_split.h>
 
@@ -17,6 +18,12 @@
 /// keys.revocation_limit_ms of the gateways.
 constexpr milliseconds revocation_limit{3000};
 
+/// After this number of crashes under a part, and the time in which gateways
+/// learn what others know, at most so many requests with it are sent.
+constexpr std::size_t crashes_before_limit = 5;
+constexpr milliseconds contact_time{4000};
+constexpr std::size_t max_late_sends = 3;
+
 /// Executions of one request at the backend servers.
 struct request_runs final
 {
@@ -231,6 +238,55 @@
     return violations;
 }
 
+std::vector<std::string>
+find_quarantine_violations(const soak_cluster& cluster,
+                           const soak_faults& faults,
+                           const std::vector<soak_record>& all)
+{
+    std::vector<std::string> violations;
+    std::map<std::string, std::size_t> gateway_of;
+    for (const auto& record : all)
+    {
+        gateway_of[record.id] = record.gateway;
+        if (record.quarantined && record.part != deadly_part)
+        {
+            violations.push_back(record.id + ": refused for a sound part");
+        }
+    }
+    std::vector<boot_clock::time_point> crashes;
+    for (const auto* server : cluster.servers())
+    {
+        const auto own = server->part_crash_times();
+        crashes.insert(crashes.end(), own.begin(), own.end());
+    }
+    if (crashes.size() < crashes_before_limit)
+    {
+        return violations;
+    }
+    std::sort(crashes.begin(), crashes.end());
+    const auto limit = crashes[crashes_before_limit - 1] + contact_time;
+    std::vector<std::string> late;
+    for (const auto* server : cluster.servers())
+    {
+        for (const auto& request : server->received_with_part(deadly_part))
+        {
+            if (request.at > limit &&
+                faults.in_touch(gateway_of[request.id], request.at))
+            {
+                late.push_back(request.id);
+            }
+        }
+    }
+    if (late.size() > max_late_sends)
+    {
+        violations.push_back(std::to_string(late.size()) +
+                             " requests with a part that crashes servers were "
+                             "sent too late, the last one " +
+                             late.back());
+    }
+    return violations;
+}
+
 std::vector<std::string>
 find_unrecovered_gateways(soak_cluster& cluster, std::vector<soak_record>& all)
 {
--- a/tests/soak/soak_checks.hpp
+++ b/tests/soak/soak_checks.hpp
@@ -9,6 +9,7 @@
 {
 
 class soak_cluster;
+class soak_faults;
 
 /// Compares the answers that callers got with the executions at the servers.
 /// Returns a line for each violation of these guarantees: no request or answer
@@ -19,6 +20,14 @@
 std::vector<std::string> find_violations(const soak_cluster& cluster,
                                          const std::vector<soak_record>& all);
 
+/// Returns a line for each request that was refused for a part that crashes no
+/// server, and for requests with the part that does, if gateways in touch sent
+/// too many of them after the fifth crash.
+std::vector<std::string>
+find_quarantine_violations(const soak_cluster& cluster,
+                           const soak_faults& faults,
+                           const std::vector<soak_record>& all);
+
 /// Waits until every gateway serves again. Returns a line for each that does
 /// not, and appends the records of the requests that it sends to `all`.
 std::vector<std::string>
--- a/tests/soak/soak_cluster.cpp
+++ b/tests/soak/soak_cluster.cpp
@@ -1,7 +1,10 @@
 #include "soak/soak_cluster.hpp"
 
+#include <absl/strings/str_cat.h>
 #include <unistd.h>
 
+#include <functional>
+
 namespace mangolink::test
 {
 namespace
@@ -40,6 +43,13 @@
     auto request = test_cluster::request(
         std::string(path_of(record.kind)) + "x", record.id, milliseconds(3000));
     request.set("X-Key", record.key);
+    if (!record.part.empty())
+    {
+        request.set("X-Prompt-Prefix",
+                    absl::StrCat("aa01:100,", record.part, ":50,",
+                                 absl::Hex(std::hash<std::string>()(record.id)),
+                                 ":9"));
+    }
     if (record.kind == soak_kind::with_stages)
     {
         request.set("X-Chunk-Key", "key-" + record.id);
@@ -52,17 +62,19 @@
 soak_cluster::soak_cluster(std::uint64_t seed, unsigned gateways)
     : control_{proxy_host(), control_port}, gateways_(gateways)
 {
-    const std::pair<const char*, const char*> servers[] = {
-        {"desk", "desk-1"},     {"desk", "desk-2"},     {"desk", "desk-3"},
-        {"engine", "engine-1"}, {"engine", "engine-2"}, {"engine", "engine-3"}};
     std::map<std::string, std::string> addresses;
-    for (const auto& [service, id] : servers)
+    for (std::size_t i = 0; i < plain_servers + engines; ++i)
     {
+        const bool plain = i < plain_servers;
+        const std::string service = plain ? "desk" : "engine";
+        const std::string id =
+            absl::StrCat(service, "-", 1 + (plain ? i : i - plain_servers));
         servers_.push_back(&cluster_.add_backend(service, id));
         addresses[id] = add_proxied_link(id, servers_.back()->address());
-        if (std::string(service) == "engine")
+        if (!plain)
         {
             servers_.back()->set_stream(stream_events, milliseconds(15));
+            servers_.back()->set_crashing_part(deadly_part);
         }
     }
     for (const char* id : {"encode-1", "encode-2", "rerank-1", "rerank-2"})
--- a/tests/soak/soak_cluster.hpp
+++ b/tests/soak/soak_cluster.hpp
@@ -23,6 +23,13 @@
 constexpr unsigned first_stage_items = 2;
 constexpr unsigned second_stage_items = 3;
 
+/// Part of a prompt that crashes every engine.
+constexpr const char* deadly_part = "dead01";
+
+/// Number of plain servers and of engines.
+constexpr std::size_t plain_servers = 3;
+constexpr std::size_t engines = 6;
+
 /// Number of events in every stream.
 constexpr unsigned stream_events = 8;
 
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <thread>
 #include <utility>
 
 namespace mangolink::test
@@ -17,8 +18,11 @@
 /// Longer than a process takes from its start to its first instruction.
 constexpr milliseconds program_start_time{200};
 
-/// Backend servers of each service; the engines follow the plain servers.
-constexpr std::size_t servers_per_service = 3;
+/// Downtime of a server after a crash.
+constexpr milliseconds server_downtime{700};
+
+/// Time in which gateways learn what others know.
+constexpr milliseconds contact_time{4000};
 
 } // namespace
 
@@ -39,6 +43,7 @@
         {"fail a server", &soak_faults::fail_server},
         {"break a stream", &soak_faults::break_stream},
         {"silence a server", &soak_faults::silence_server},
+        {"crash engines", &soak_faults::crash_engines},
         {"deregister a server", &soak_faults::deregister_server},
         {"fail a stage server", &soak_faults::fail_stage_server},
         {"rotate the key", &soak_faults::rotate_key}};
@@ -47,7 +52,7 @@
 
 soak_faults::soak_faults(soak_cluster& cluster, std::uint64_t seed)
     : cluster_(cluster), random_(seed), down_(cluster.gateways()),
-      paused_(cluster.gateways())
+      paused_(cluster.gateways()), outages_(cluster.gateways())
 {
 }
 
@@ -65,6 +70,7 @@
         ends_.erase(ends_.begin() + static_cast<std::ptrdiff_t>(i));
         action();
     }
+    recover_servers();
     const fault& chosen = faults()[random_below(faults().size())];
     ++counts_[chosen.name];
     (this->*chosen.begin)();
@@ -81,11 +87,33 @@
     }
     for (auto* server : cluster_.servers())
     {
+        server->set_crashing_part({});
         server->clear_faults();
         server->break_next_stream_after(0);
         server->silence_next_stream(0, {});
         server->set_delay({});
     }
+    std::this_thread::sleep_for(server_downtime);
+    recover_servers();
+}
+
+bool soak_faults::in_touch(std::size_t gateway, boot_clock::time_point at) const
+{
+    return std::none_of(outages_[gateway].begin(), outages_[gateway].end(),
+                        [at](const outage& each) {
+                            return each.begin <= at &&
+                                   at - contact_time < each.end;
+                        });
+}
+
+void soak_faults::begin_outage(std::size_t gateway)
+{
+    outages_[gateway].push_back({boot_clock::now()});
+}
+
+void soak_faults::end_outage(std::size_t gateway)
+{
+    outages_[gateway].back().end = boot_clock::now();
 }
 
 void soak_faults::end_after(milliseconds minimum, milliseconds maximum,
@@ -100,6 +128,7 @@
                                 milliseconds maximum)
 {
     down_[index] = true;
+    begin_outage(index);
     end_after(minimum, maximum,
               [this, index]
               {
@@ -107,6 +136,7 @@
                   gateway.process().wait(stop_timeout);
                   gateway.start();
                   down_[index] = false;
+                  end_outage(index);
               });
 }
 
@@ -154,12 +184,14 @@
         return;
     }
     paused_[index] = true;
+    begin_outage(index);
     cluster_.gateway(index).process().signal(SIGSTOP);
     end_after(milliseconds(100), milliseconds(4500),
               [this, index]
               {
                   paused_[index] = false;
                   cluster_.gateway(index).process().signal(SIGCONT);
+                  end_outage(index);
               });
 }
 
@@ -261,9 +293,7 @@
 
 void soak_faults::break_stream()
 {
-    auto* engine =
-        cluster_
-            .servers()[servers_per_service + random_below(servers_per_service)];
+    auto* engine = cluster_.servers()[plain_servers + random_below(engines)];
     engine->break_next_stream_after(1 + static_cast<unsigned>(random_below(6)));
 }
 
@@ -282,6 +312,27 @@
               [server] { server->set_delay({}); });
 }
 
+void soak_faults::crash_engines()
+{
+    for (std::size_t i = 0; i < engines / 2; ++i)
+    {
+        cluster_.servers()[plain_servers + random_below(engines)]->crash();
+    }
+}
+
+void soak_faults::recover_servers()
+{
+    for (auto* server : cluster_.servers())
+    {
+        if (server->crashed() &&
+            server->crash_times().back() + server_downtime < boot_clock::now())
+        {
+            server->recover();
+            cluster_.platform().restart_server(server->id());
+        }
+    }
+}
+
 void soak_faults::deregister_server()
 {
     const auto& id =
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -20,7 +20,7 @@
 /// stopped, paused, killed, restarted or told to reload their settings.
 /// Connections are delayed, throttled, reset, cut or blocked in one direction.
 /// The store is unavailable, loses answers or compacts its history. Servers
-/// fail, leave and return. Keys are revoked. Used by one thread.
+/// fail, crash, leave and return. Keys are revoked. Used by one thread.
 class soak_faults final
 {
 public:
@@ -32,6 +32,10 @@
     /// Ends every fault.
     void end_all_faults();
 
+    /// Returns whether a gateway ran without a fault of its own for some time
+    /// before.
+    bool in_touch(std::size_t gateway, boot_clock::time_point at) const;
+
     /// Returns how often each fault was started.
     const std::map<std::string, unsigned>& counts() const { return counts_; }
 
@@ -41,6 +45,11 @@
         boot_clock::time_point at;
         std::function<void()> action;
     };
+    struct outage final
+    {
+        boot_clock::time_point begin;
+        boot_clock::time_point end = boot_clock::time_point::max();
+    };
     struct fault final
     {
         const char* name;
@@ -59,6 +68,10 @@
     void fail_server();
     void break_stream();
     void silence_server();
+    void crash_engines();
+    void recover_servers();
+    void begin_outage(std::size_t gateway);
+    void end_outage(std::size_t gateway);
     void deregister_server();
     void fail_stage_server();
     void rotate_key();
@@ -79,6 +92,7 @@
     std::vector<pending_end> ends_;
     std::vector<bool> down_;   ///< by gateway: exiting, or to be restarted
     std::vector<bool> paused_; ///< by gateway
+    std::vector<std::vector<outage>> outages_;    ///< by gateway
     std::map<std::string, nlohmann::json> rules_; ///< by link
     std::map<std::string, unsigned> counts_;
 };
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -73,6 +73,10 @@
     const auto request_violations = find_violations(cluster, records);
     violations.insert(violations.end(), request_violations.begin(),
                       request_violations.end());
+    const auto quarantine_violations =
+        find_quarantine_violations(cluster, faults, records);
+    violations.insert(violations.end(), quarantine_violations.begin(),
+                      quarantine_violations.end());
     const auto served = std::count_if(records.begin(), records.end(),
                                       [](const soak_record& record)
                                       { return record.status == 200; });
--- a/tests/soak/soak_record.hpp
+++ b/tests/soak/soak_record.hpp
@@ -26,11 +26,14 @@
     std::string id;
     soak_kind kind = soak_kind::idempotent;
     std::string key;
+    std::string part;        ///< of the prompt; empty: no prompt
+    std::size_t gateway = 0; ///< that the request was sent to
     boot_clock::time_point sent;
     unsigned status = 0;          ///< 0: no complete answer
     std::string body;             ///< may be an incomplete answer
     std::string signer;           ///< server that signed the answer, if any
     bool has_retry_after = false; ///< the answer has Retry-After
+    bool quarantined = false;     ///< refused for a part of the prompt
 
     /// Sets the fields of the answer; `partial` is the body received of an
     /// incomplete one.
