Turn the quarantine off and on by a reload; show it in ctl and the pages

mangolink-ctl quarantine and /quarantine show what is refused, why and since when. quarantine.enabled changes by SIGHUP: the way out for a part that was blamed wrongly while its requests keep coming. Quarantined parts are kept in a set, so that the explanation of crashes does not look at all records.

--- a/src/connection/control_client.cpp
+++ b/src/connection/control_client.cpp
@@ -54,6 +54,8 @@
                   "check a patch; print the document to publish"},
     command_entry{"drain", "", "POST", "/v1/drain", "",
                   "finish what is in flight, then stop the process"},
+    command_entry{"quarantine", "", "GET", "/quarantine", "parts",
+                  "parts of prompts that a gateway refuses"},
     command_entry{"metrics", "", "GET", "/metrics", "", "text page of metrics"},
 };
 
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -493,9 +493,12 @@
         }
         settings_.stop_limit = new_settings.stop_limit;
         settings_.level = new_settings.level;
+        state_.quarantine().set_enabled(new_settings.quarantine.enabled);
         configure_log(new_settings.level, settings_.name);
-        log_notice("gateway", "Settings read again.",
-                   {{"seeds", std::to_string(new_settings.seeds.size())}});
+        log_notice(
+            "gateway", "Settings read again.",
+            {{"seeds", std::to_string(new_settings.seeds.size())},
+             {"quarantine", new_settings.quarantine.enabled ? "on" : "off"}});
     }
     catch (const std::exception& error)
     {
--- a/src/request/prompt_quarantine.cpp
+++ b/src/request/prompt_quarantine.cpp
@@ -137,20 +137,25 @@
 {
 }
 
+void prompt_quarantine::set_enabled(bool enabled)
+{
+    settings_.enabled = enabled;
+    if (!enabled)
+    {
+        records_.clear();
+        quarantined_.clear();
+        ++changes_;
+    }
+}
+
 std::optional<std::uint64_t>
 prompt_quarantine::find(const prompt_parts& prompt) const
 {
     std::optional<std::uint64_t> result;
-    if (quarantined_count_ == 0)
-    {
-        return result;
-    }
     for_each_part(prompt,
                   [&](std::uint64_t part)
                   {
-                      const auto found = records_.find(part);
-                      if (!result && found != records_.end() &&
-                          found->second.since)
+                      if (!result && quarantined_.contains(part))
                       {
                           result = part;
                       }
@@ -190,7 +195,7 @@
                       record* known = find_record(part);
                       if (known != nullptr && is_guilty(part, *known, now))
                       {
-                          quarantine(*known, now);
+                          quarantine(part, *known, now);
                           quarantined = true;
                       }
                   });
@@ -220,22 +225,11 @@
                   {
                       if (record* known = find_record(part))
                       {
-                          clear(*known, now, now);
+                          clear(part, *known, now, now);
                       }
                   });
 }
 
-bool prompt_quarantine::release(std::uint64_t part, time_point now)
-{
-    record* known = find_record(part);
-    if (known == nullptr || !known->since)
-    {
-        return false;
-    }
-    clear(*known, now, now);
-    return true;
-}
-
 void prompt_quarantine::merge(const prompt_suspicion& other, time_point now)
 {
     auto latest = other.last_request.value_or(time_point::min());
@@ -262,13 +256,13 @@
     }
     if (other.cleared)
     {
-        clear(*known, *other.cleared, now);
+        clear(other.part, *known, *other.cleared, now);
     }
     const bool taken_over = other.last_request && !known->crashes.empty() &&
                             distinct_moments(known->crashes) >= min_crashes;
     if (!known->since && (taken_over || is_guilty(other.part, *known, now)))
     {
-        quarantine(*known, now);
+        quarantine(other.part, *known, now);
         forget_explained_crashes();
     }
     if (known->since && other.last_request &&
@@ -304,7 +298,7 @@
         const auto current = entry++;
         if (expired(current->second, now))
         {
-            release(current->second, now);
+            release(current->first, current->second, now);
             records_.erase(current);
         }
     }
@@ -436,7 +430,8 @@
     }
 }
 
-void prompt_quarantine::clear(record& known, time_point at, time_point now)
+void prompt_quarantine::clear(std::uint64_t part, record& known, time_point at,
+                              time_point now)
 {
     const auto cleared =
         std::erase_if(known.crashes, [at](const prompt_crash& crash)
@@ -449,30 +444,24 @@
     known.changed = cleared > 0 ? now : known.changed;
     if (known.crashes.empty())
     {
-        release(known, now);
+        release(part, known, now);
     }
 }
 
 bool prompt_quarantine::is_explained(const prompt_crash& crash) const
 {
-    if (quarantined_count_ == 0)
+    const auto explains = [&crash](const prompt_crash& other)
     {
-        return false;
-    }
-    return std::any_of(
-        records_.begin(), records_.end(),
-        [&crash](const auto& entry)
-        {
-            const record& known = entry.second;
-            return known.since &&
-                   std::any_of(known.crashes.begin(), known.crashes.end(),
-                               [&crash](const prompt_crash& other)
-                               {
-                                   return other.server_start ==
-                                              crash.server_start ||
-                                          same_moment(other, crash);
-                               });
-        });
+        return other.server_start == crash.server_start ||
+               same_moment(other, crash);
+    };
+    return std::any_of(quarantined_.begin(), quarantined_.end(),
+                       [&](std::uint64_t part)
+                       {
+                           const auto& crashes = records_.at(part).crashes;
+                           return std::any_of(crashes.begin(), crashes.end(),
+                                              explains);
+                       });
 }
 
 bool prompt_quarantine::is_guilty(std::uint64_t part, const record& known,
@@ -504,22 +493,24 @@
            distinct_moments(known.crashes) >= std::max(least, needed);
 }
 
-void prompt_quarantine::quarantine(record& known, time_point now)
+void prompt_quarantine::quarantine(std::uint64_t part, record& known,
+                                   time_point now)
 {
     known.since = now;
     known.last_request = now;
     known.changed = now;
-    ++quarantined_count_;
+    quarantined_.insert(part);
     ++changes_;
 }
 
-void prompt_quarantine::release(record& known, time_point now)
+void prompt_quarantine::release(std::uint64_t part, record& known,
+                                time_point now)
 {
     if (known.since)
     {
         known.since.reset();
         known.changed = now;
-        --quarantined_count_;
+        quarantined_.erase(part);
         ++changes_;
     }
 }
@@ -578,10 +569,7 @@
             };
             return rank(a.second) < rank(b.second);
         });
-    if (least->second.since)
-    {
-        release(least->second, least->second.changed);
-    }
+    release(least->first, least->second, least->second.changed);
     records_.erase(least);
 }
 
--- a/src/request/prompt_quarantine.hpp
+++ b/src/request/prompt_quarantine.hpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -77,6 +78,9 @@
 public:
     explicit prompt_quarantine(prompt_quarantine_settings settings);
 
+    /// Turns the quarantine on or off, which releases and forgets everything.
+    void set_enabled(bool enabled);
+
     /// Returns the quarantined part of a prompt, or nothing.
     std::optional<std::uint64_t> find(const prompt_parts& prompt) const;
 
@@ -90,9 +94,6 @@
     /// Records that a server gave output for a request.
     void record_output(const prompt_parts& prompt, boot_clock::time_point now);
 
-    /// Clears a part. Returns false if it is not quarantined.
-    bool release(std::uint64_t part, boot_clock::time_point now);
-
     /// Adds what another process knows.
     void merge(const prompt_suspicion& other, boot_clock::time_point now);
 
@@ -163,12 +164,13 @@
     record& record_of(std::uint64_t part);
     void add_crash(std::uint64_t part, const prompt_crash& crash,
                    time_point now);
-    void clear(record& known, time_point at, time_point now);
+    void clear(std::uint64_t part, record& known, time_point at,
+               time_point now);
     bool is_explained(const prompt_crash& crash) const;
     bool is_guilty(std::uint64_t part, const record& known,
                    time_point now) const;
-    void quarantine(record& known, time_point now);
-    void release(record& known, time_point now);
+    void quarantine(std::uint64_t part, record& known, time_point now);
+    void release(std::uint64_t part, record& known, time_point now);
     void forget_explained_crashes();
     prompt_outcomes total_outcomes(time_point now) const;
     bool expired(const record& known, time_point now) const;
@@ -177,7 +179,7 @@
     prompt_quarantine_settings settings_;
     absl::flat_hash_map<std::uint64_t, record> records_;
     output_times outputs_;
-    std::size_t quarantined_count_ = 0;
+    absl::flat_hash_set<std::uint64_t> quarantined_; ///< their parts
     std::uint64_t changes_ = 0;
     std::uint64_t reports_ = 0;
     decaying_outcomes outcomes_;
--- a/tests/unit/prompt_quarantine_test.cpp
+++ b/tests/unit/prompt_quarantine_test.cpp
@@ -517,6 +517,8 @@
         tell(here, disabled, now);
         CPPUNIT_ASSERT(!disabled.find(prompt_of(7, 1)));
         CPPUNIT_ASSERT(disabled.report(true, now).empty());
+        here.set_enabled(false);
+        CPPUNIT_ASSERT(!here.find(prompt_of(7, 1)));
     }
 
 private:
