--- a/src/connection/prompt_guard.cpp
+++ b/src/connection/prompt_guard.cpp
@@ -78,7 +78,8 @@
 void prompt_guard::record_outcomes(const std::string& process,
                                    const prompt_outcomes& outcomes)
 {
-    quarantine_.set_outcomes_of(process, outcomes, boot_clock::now());
+    quarantine_.statistics().set_outcomes_of(process, outcomes,
+                                             boot_clock::now());
 }
 
 void prompt_guard::merge(const prompt_suspicion& suspicion)
@@ -94,7 +95,7 @@
 
 prompt_outcomes prompt_guard::outcomes() const
 {
-    return quarantine_.outcomes(boot_clock::now());
+    return quarantine_.statistics().own(boot_clock::now());
 }
 
 void prompt_guard::expire()
--- a/src/request/prompt_quarantine.cpp
+++ b/src/request/prompt_quarantine.cpp
@@ -3,7 +3,6 @@
 #include "request/prompt_parts.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -17,9 +16,6 @@
 constexpr std::size_t min_crashes = 3;
 constexpr std::size_t min_crashes_if_sound = 5;
 
-/// A sound part meets as many crashes in a row with at most this probability.
-constexpr double max_false_probability = 1e-4;
-
 /// Crashes closer to each other than this count as one.
 constexpr milliseconds min_crash_distance{200};
 
@@ -27,17 +23,6 @@
 constexpr std::size_t max_crashes = 16;
 
 constexpr std::size_t max_records = 1024;
-constexpr std::size_t max_output_times = 2048; ///< of each generation
-
-/// Recent outcomes halve in this time.
-constexpr milliseconds outcome_half_life{5000};
-
-/// Outcomes assumed in addition to those known.
-constexpr double assumed_outputs = 50;
-constexpr double assumed_crashes = 1;
-
-/// Outcomes of a process below this number are forgotten.
-constexpr double negligible_outcomes = 0.1;
 
 /// Ages grow by the time that reports are under way.
 constexpr milliseconds age_error{1000};
@@ -93,45 +78,6 @@
 
 } // namespace
 
-void prompt_quarantine::decaying_outcomes::set(const prompt_outcomes& value,
-                                               time_point now)
-{
-    value_ = value;
-    at_ = now;
-}
-
-prompt_outcomes
-prompt_quarantine::decaying_outcomes::value(time_point now) const
-{
-    const std::chrono::duration<double, std::milli> age = now - at_;
-    const double factor = std::exp2(-age / outcome_half_life);
-    return {value_.outputs * factor, value_.crashes * factor,
-            value_.last_output};
-}
-
-void prompt_quarantine::output_times::add(std::uint64_t part, time_point time)
-{
-    newer_[part] = time;
-    if (newer_.size() > max_output_times)
-    {
-        older_ = std::move(newer_);
-        newer_.clear();
-    }
-}
-
-std::optional<boot_clock::time_point>
-prompt_quarantine::output_times::find(std::uint64_t part) const
-{
-    for (const auto* times : {&newer_, &older_})
-    {
-        if (const auto found = times->find(part); found != times->end())
-        {
-            return found->second;
-        }
-    }
-    return std::nullopt;
-}
-
 prompt_quarantine::prompt_quarantine(prompt_quarantine_settings settings)
     : settings_(settings)
 {
@@ -182,9 +128,7 @@
     const prompt_crash crash{server_start, prompt.own, now};
     if (!find(prompt))
     {
-        auto recent = outcomes_.value(now);
-        ++recent.crashes;
-        outcomes_.set(recent, now);
+        statistics_.add_crash(now);
     }
     for_each_part(prompt,
                   [&](std::uint64_t part) { add_crash(part, crash, now); });
@@ -212,10 +156,7 @@
     {
         return;
     }
-    auto recent = outcomes_.value(now);
-    ++recent.outputs;
-    recent.last_output = now;
-    outcomes_.set(recent, now);
+    statistics_.add_output(now);
     for (const auto part : prompt.shared)
     {
         outputs_.add(part, now);
@@ -258,8 +199,8 @@
     {
         clear(other.part, *known, *other.cleared, now);
     }
-    const bool taken_over = other.last_request && !known->crashes.empty() &&
-                            distinct_moments(known->crashes) >= min_crashes;
+    const bool taken_over =
+        other.last_request && distinct_moments(known->crashes) >= min_crashes;
     if (!known->since && (taken_over || is_guilty(other.part, *known, now)))
     {
         quarantine(other.part, *known, now);
@@ -272,27 +213,9 @@
     }
 }
 
-prompt_outcomes prompt_quarantine::outcomes(time_point now) const
-{
-    return outcomes_.value(now);
-}
-
-void prompt_quarantine::set_outcomes_of(const std::string& process,
-                                        const prompt_outcomes& outcomes,
-                                        time_point now)
-{
-    outcomes_of_others_[process].set(outcomes, now);
-}
-
 void prompt_quarantine::expire(time_point now)
 {
-    absl::erase_if(outcomes_of_others_,
-                   [now](const auto& entry)
-                   {
-                       const auto recent = entry.second.value(now);
-                       return recent.outputs + recent.crashes <
-                              negligible_outcomes;
-                   });
+    statistics_.expire(now);
     for (auto entry = records_.begin(); entry != records_.end();)
     {
         const auto current = entry++;
@@ -471,26 +394,20 @@
     {
         return false;
     }
-    const auto all = total_outcomes(now);
     // Without output for others there is nothing to compare with.
     const auto& before_last = known.crashes[known.crashes.size() - 2];
-    const bool others_go_on =
-        all.last_output && *all.last_output > before_last.at;
+    const auto last_output = statistics_.total(now).last_output;
+    const bool others_go_on = last_output && *last_output > before_last.at;
     const auto request = known.crashes.front().request;
     const bool several_requests =
         std::any_of(known.crashes.begin(), known.crashes.end(),
                     [request](const prompt_crash& crash)
                     { return crash.request != request; });
-    const auto own_crashes = static_cast<double>(known.crashes.size());
-    const double other_crashes =
-        std::max(0.0, all.crashes - own_crashes) + assumed_crashes;
-    const double crash_rate =
-        other_crashes / (other_crashes + all.outputs + assumed_outputs);
-    const auto needed = static_cast<std::size_t>(
-        std::ceil(std::log(max_false_probability) / std::log(crash_rate)));
-    const auto least = known.cleared ? min_crashes_if_sound : min_crashes;
+    const auto needed =
+        std::max(known.cleared ? min_crashes_if_sound : min_crashes,
+                 statistics_.unlikely_crashes(known.crashes.size(), now));
     return others_go_on && (several_requests || request == part) &&
-           distinct_moments(known.crashes) >= std::max(least, needed);
+           distinct_moments(known.crashes) >= needed;
 }
 
 void prompt_quarantine::quarantine(std::uint64_t part, record& known,
@@ -527,24 +444,6 @@
     }
 }
 
-prompt_outcomes prompt_quarantine::total_outcomes(time_point now) const
-{
-    auto total = outcomes_.value(now);
-    for (const auto& [process, outcomes] : outcomes_of_others_)
-    {
-        const auto recent = outcomes.value(now);
-        total.outputs += recent.outputs;
-        total.crashes += recent.crashes;
-        if (recent.last_output)
-        {
-            total.last_output =
-                std::max(*recent.last_output,
-                         total.last_output.value_or(*recent.last_output));
-        }
-    }
-    return total;
-}
-
 bool prompt_quarantine::expired(const record& known, time_point now) const
 {
     if (known.since)
--- a/src/request/prompt_quarantine.hpp
+++ b/src/request/prompt_quarantine.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "base/clock.hpp"
+#include "request/crash_statistics.hpp"
+#include "request/output_times.hpp"
+#include "request/prompt_suspicion.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -8,7 +11,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <string>
 #include <vector>
 
 namespace mangolink
@@ -24,25 +26,6 @@
     milliseconds quiet_time{600'000};
 };
 
-/// End of a server that worked on a request and had given no output for it.
-struct prompt_crash final
-{
-    std::uint64_t server_start = 0; ///< identifies the start of the server
-    std::uint64_t request = 0;      ///< own part of the request
-    boot_clock::time_point at;
-};
-
-/// What is known of a part that may crash servers. Processes exchange it.
-struct prompt_suspicion final
-{
-    std::uint64_t part = 0;
-    std::vector<prompt_crash> crashes; ///< in the order of their times
-    /// When a server last gave output for a request with the part.
-    std::optional<boot_clock::time_point> cleared;
-    /// When a request with the part was last seen; set if it is quarantined.
-    std::optional<boot_clock::time_point> last_request;
-};
-
 /// Part whose requests are refused.
 struct quarantined_part final
 {
@@ -52,14 +35,6 @@
     std::size_t crashes = 0;
 };
 
-/// What happened lately to the requests of a process.
-struct prompt_outcomes final
-{
-    double outputs = 0; ///< number for which a server gave output
-    double crashes = 0; ///< number under which a server ended before
-    std::optional<boot_clock::time_point> last_output;
-};
-
 /// Finds the parts of prompts that crash the servers which work on them, so
 /// that further requests with such a part are refused.
 ///
@@ -97,14 +72,6 @@
     /// Adds what another process knows.
     void merge(const prompt_suspicion& other, boot_clock::time_point now);
 
-    /// Returns the recent outcomes of this process.
-    prompt_outcomes outcomes(boot_clock::time_point now) const;
-
-    /// Replaces the recent outcomes of another process.
-    void set_outcomes_of(const std::string& process,
-                         const prompt_outcomes& outcomes,
-                         boot_clock::time_point now);
-
     /// Removes what is too old.
     void expire(boot_clock::time_point now);
 
@@ -121,6 +88,9 @@
     /// Returns a number that rises when a part is quarantined or released.
     std::uint64_t changes() const { return changes_; }
 
+    /// How often servers end under requests, as the other processes report.
+    crash_statistics& statistics() { return statistics_; }
+
     const prompt_quarantine_settings& settings() const { return settings_; }
 
 private:
@@ -136,30 +106,6 @@
         std::uint64_t reported = 0; ///< number of the last report, 0: none
     };
 
-    /// Numbers that halve in a fixed time.
-    class decaying_outcomes final
-    {
-    public:
-        void set(const prompt_outcomes& value, time_point now);
-        prompt_outcomes value(time_point now) const;
-
-    private:
-        prompt_outcomes value_;
-        time_point at_;
-    };
-
-    /// Times of the last output by part, of which the older ones are forgotten.
-    class output_times final
-    {
-    public:
-        void add(std::uint64_t part, time_point time);
-        std::optional<time_point> find(std::uint64_t part) const;
-
-    private:
-        absl::flat_hash_map<std::uint64_t, time_point> newer_;
-        absl::flat_hash_map<std::uint64_t, time_point> older_;
-    };
-
     record* find_record(std::uint64_t part);
     record& record_of(std::uint64_t part);
     void add_crash(std::uint64_t part, const prompt_crash& crash,
@@ -172,7 +118,6 @@
     void quarantine(std::uint64_t part, record& known, time_point now);
     void release(std::uint64_t part, record& known, time_point now);
     void forget_explained_crashes();
-    prompt_outcomes total_outcomes(time_point now) const;
     bool expired(const record& known, time_point now) const;
     void make_room();
 
@@ -182,8 +127,7 @@
     absl::flat_hash_set<std::uint64_t> quarantined_; ///< their parts
     std::uint64_t changes_ = 0;
     std::uint64_t reports_ = 0;
-    decaying_outcomes outcomes_;
-    absl::flat_hash_map<std::string, decaying_outcomes> outcomes_of_others_;
+    crash_statistics statistics_;
 };
 
 } // namespace mangolink
--- a/tests/unit/prompt_quarantine_test.cpp
+++ b/tests/unit/prompt_quarantine_test.cpp
@@ -247,8 +247,9 @@
                 {
                     continue;
                 }
-                gateways_[to].set_outcomes_of(
-                    std::to_string(from), gateways_[from].outcomes(now_), now_);
+                gateways_[to].statistics().set_outcomes_of(
+                    std::to_string(from),
+                    gateways_[from].statistics().own(now_), now_);
                 for (const auto& suspicion : report)
                 {
                     gateways_[to].merge(suspicion, now_);
