Compare crashes with requests that have prompts only, and count an end once

Cause: output of plain requests showed that others go on, while no request with a prompt had output; and requests that met a server after its end, at a port that still accepts, counted as crashes each.

Why this works: requests without a prompt are no comparison for those with one; a start of a server ends once, so a later failure at it within the time that it may still be in the directory is none of the request's.

--- a/src/request/prompt_quarantine.cpp
+++ b/src/request/prompt_quarantine.cpp
@@ -19,6 +19,9 @@
 /// Crashes closer to each other than this count as one.
 constexpr milliseconds min_crash_distance{200};
 
+/// Requests are still sent to a server for up to this time after its end.
+constexpr milliseconds removal_time{4000};
+
 /// Number of crashes remembered of a part.
 constexpr std::size_t max_crashes = 16;
 
@@ -121,7 +124,8 @@
 void prompt_quarantine::record_crash(const prompt_parts& prompt,
                                      std::uint64_t server_start, time_point now)
 {
-    if (!settings_.enabled)
+    if (!settings_.enabled || prompt.shared.empty() ||
+        ended_before(server_start, now))
     {
         return;
     }
@@ -152,14 +156,15 @@
 void prompt_quarantine::record_output(const prompt_parts& prompt,
                                       time_point now)
 {
-    if (!settings_.enabled)
+    // Requests without a prompt are no comparison for those with one.
+    if (!settings_.enabled || prompt.shared.empty())
     {
         return;
     }
     statistics_.add_output(now);
     for (const auto part : prompt.shared)
     {
-        outputs_.add(part, now);
+        outputs_.set(part, now);
     }
     for_each_part(prompt,
                   [&](std::uint64_t part)
@@ -371,6 +376,17 @@
     }
 }
 
+bool prompt_quarantine::ended_before(std::uint64_t server_start, time_point now)
+{
+    const auto end = ends_.find(server_start);
+    if (!end || now - *end > removal_time)
+    {
+        ends_.set(server_start, now);
+        return false;
+    }
+    return now - *end > min_crash_distance;
+}
+
 bool prompt_quarantine::is_explained(const prompt_crash& crash) const
 {
     const auto explains = [&crash](const prompt_crash& other)
--- a/src/request/prompt_quarantine.hpp
+++ b/src/request/prompt_quarantine.hpp
@@ -2,8 +2,8 @@
 
 #include "base/clock.hpp"
 #include "request/crash_statistics.hpp"
-#include "request/output_times.hpp"
 #include "request/prompt_suspicion.hpp"
+#include "request/recent_times.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -112,6 +112,7 @@
                    time_point now);
     void clear(std::uint64_t part, record& known, time_point at,
                time_point now);
+    bool ended_before(std::uint64_t server_start, time_point now);
     bool is_explained(const prompt_crash& crash) const;
     bool is_guilty(std::uint64_t part, const record& known,
                    time_point now) const;
@@ -123,7 +124,8 @@
 
     prompt_quarantine_settings settings_;
     absl::flat_hash_map<std::uint64_t, record> records_;
-    output_times outputs_;
+    recent_times outputs_;                           ///< last output by part
+    recent_times ends_;                              ///< by start of a server
     absl::flat_hash_set<std::uint64_t> quarantined_; ///< their parts
     std::uint64_t changes_ = 0;
     std::uint64_t reports_ = 0;
--- a/src/request/output_times.cpp
+++ b/src/request/recent_times.cpp
@@ -1,4 +1,4 @@
-#include "request/output_times.hpp"
+#include "request/recent_times.hpp"
 
 #include <cstddef>
 #include <utility>
@@ -8,15 +8,15 @@
 namespace
 {
 
-/// Number of parts in each of the two maps.
-constexpr std::size_t max_parts = 2048;
+/// Number of keys in each of the two maps.
+constexpr std::size_t max_keys = 2048;
 
 } // namespace
 
-void output_times::add(std::uint64_t part, boot_clock::time_point time)
+void recent_times::set(std::uint64_t key, boot_clock::time_point time)
 {
-    newer_[part] = time;
-    if (newer_.size() > max_parts)
+    newer_[key] = time;
+    if (newer_.size() > max_keys)
     {
         older_ = std::move(newer_);
         newer_.clear();
@@ -24,11 +24,11 @@
 }
 
 std::optional<boot_clock::time_point>
-output_times::find(std::uint64_t part) const
+recent_times::find(std::uint64_t key) const
 {
     for (const auto* times : {&newer_, &older_})
     {
-        if (const auto found = times->find(part); found != times->end())
+        if (const auto found = times->find(key); found != times->end())
         {
             return found->second;
         }
--- a/tests/platform/query_of_death_test.cpp
+++ b/tests/platform/query_of_death_test.cpp
@@ -120,7 +120,8 @@
 class sound_callers final
 {
 public:
-    sound_callers(test_cluster& cluster, std::vector<std::size_t> gateways)
+    sound_callers(test_cluster& cluster,
+                  const std::vector<std::size_t>& gateways)
     {
         for (const auto index : gateways)
         {
--- a/tests/unit/prompt_quarantine_test.cpp
+++ b/tests/unit/prompt_quarantine_test.cpp
@@ -332,6 +332,8 @@
     CPPUNIT_TEST(crashes_without_a_part_to_blame_refuse_nobody);
     CPPUNIT_TEST(lost_heartbeats_and_restarts_let_no_deadly_part_through);
     CPPUNIT_TEST(output_clears_a_part);
+    CPPUNIT_TEST(requests_without_a_prompt_are_no_comparison);
+    CPPUNIT_TEST(requests_that_meet_a_server_after_its_end_blame_nothing);
     CPPUNIT_TEST(one_request_blames_no_shared_part);
     CPPUNIT_TEST(a_quarantine_ends_after_a_quiet_time);
     CPPUNIT_TEST(the_number_of_suspicions_is_bounded);
@@ -454,6 +456,34 @@
                 });
     }
 
+    void requests_without_a_prompt_are_no_comparison()
+    {
+        prompt_quarantine quarantine({});
+        time_point now{milliseconds(1000)};
+        for (std::uint64_t server = 1; server <= 8; ++server)
+        {
+            now += milliseconds(500);
+            quarantine.record_output({}, now);
+            quarantine.record_crash(prompt_of(7, own_parts + server), server,
+                                    now);
+        }
+        CPPUNIT_ASSERT(!quarantine.find(prompt_of(7, 1)));
+    }
+
+    void requests_that_meet_a_server_after_its_end_blame_nothing()
+    {
+        prompt_quarantine quarantine({});
+        time_point now{milliseconds(1000)};
+        quarantine.record_crash(prompt_of(7, 1), 1, now);
+        for (std::uint64_t i = 0; i < 5; ++i)
+        {
+            now += milliseconds(500);
+            quarantine.record_crash(prompt_of(8, own_parts + i), 1, now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), quarantine.suspected());
+        CPPUNIT_ASSERT(quarantine.statistics().own(now).crashes <= 1);
+    }
+
     void one_request_blames_no_shared_part()
     {
         prompt_quarantine quarantine({});
