--- a/src/connection/attempt_sender.cpp
+++ b/src/connection/attempt_sender.cpp
@@ -7,6 +7,7 @@
 #include "connection/forward_attempt.hpp"
 #include "connection/gateway_context.hpp"
 #include "connection/http_headers.hpp"
+#include "connection/listening_socket.hpp"
 #include "connection/prompt_guard.hpp"
 #include "connection/request_check.hpp"
 #include "connection/request_stages.hpp"
@@ -33,6 +34,9 @@
 /// counted as attempts.
 constexpr std::uint32_t max_misdirected_sends = 3;
 
+/// A permit may become free earlier than expected.
+constexpr milliseconds permit_check_interval{50};
+
 } // namespace
 
 attempt_sender::attempt_sender(gateway_context& context,
@@ -61,7 +65,15 @@
         auto server = state.balancer().choose(
             state.directory().servers(accepted_.service), preferences(stages),
             boot_clock::now());
-        if (!server)
+        if (!server && co_await wait_for_permit(stages))
+        {
+            continue;
+        }
+        auto permit = server
+                          ? state.limits().acquire(*server, sender_role::chosen,
+                                                   boot_clock::now())
+                          : std::nullopt;
+        if (!permit)
         {
             co_return nullptr;
         }
@@ -90,8 +102,9 @@
         if (lease.connection && state.directory().find(server->id))
         {
             auto exchange = std::make_shared<backend_exchange>(
-                server, lease.connection, context_.protocol, context_.listener,
-                checked_request(*server, stages), accepted_.metadata.id);
+                server, lease.connection, std::move(*permit), context_.protocol,
+                context_.listener, checked_request(*server, stages),
+                accepted_.metadata.id);
             co_return std::make_unique<forward_attempt>(context_.io, server,
                                                         std::move(exchange));
         }
@@ -190,10 +203,40 @@
                                   std::find(tried_servers_.begin(),
                                             tried_servers_.end(), server->id) ==
                                       tried_servers_.end() &&
-                                  !context_.state.holds().is_held(*server, now);
+                                  context_.state.is_usable(*server, now);
                        });
 }
 
+asio::awaitable<bool>
+attempt_sender::wait_for_permit(const request_stages* stages) const
+{
+    if (stages == nullptr && !stream_.begun())
+    {
+        co_return false;
+    }
+    const auto now = boot_clock::now();
+    std::optional<milliseconds> first;
+    for (const auto& server :
+         context_.state.directory().servers(accepted_.service))
+    {
+        const bool tried =
+            std::find(tried_servers_.begin(), tried_servers_.end(),
+                      server->id) != tried_servers_.end();
+        const auto time = context_.state.time_until_usable(*server, now);
+        if (!tried && time && context_.state.limits().limit_of(*server))
+        {
+            first = std::min(first.value_or(*time), *time);
+        }
+    }
+    if (!first || *first >= time_left() - min_time_left)
+    {
+        co_return false;
+    }
+    co_await pause(context_.io,
+                   std::clamp(*first, milliseconds(1), permit_check_interval));
+    co_return true;
+}
+
 std::string attempt_sender::log_text() const
 {
     return absl::StrJoin(log_, "; ");
@@ -277,10 +320,14 @@
     for (const auto& server :
          context_.state.directory().servers(accepted_.service))
     {
-        if (context_.state.holds().is_held(*server, now))
+        if (!context_.state.is_usable(*server, now))
         {
             result.excluded.push_back(server->id);
         }
+        else if (context_.state.limits().limit_of(*server))
+        {
+            result.limited.push_back(server->id);
+        }
     }
     result.bytes = request_.body().size();
     if (stages == nullptr)
--- a/src/connection/attempt_sender.hpp
+++ b/src/connection/attempt_sender.hpp
@@ -52,7 +52,7 @@
     /// Returns whether the request can be sent to a server that was not tried.
     bool may_send_elsewhere() const;
 
-    /// Excludes the servers that were tried or are held.
+    /// Excludes the servers that were tried or may get no request now.
     server_preferences preferences(const request_stages* stages) const;
 
     /// Returns the number of attempts written to a connection.
@@ -71,6 +71,10 @@
     text_request backend_request(const backend_server& server,
                                  const request_stages* stages) const;
     bool has_untried_server(const std::string& except) const;
+
+    /// Waits for a server whose rate limit is reached, if stages were made or
+    /// a stream was begun for the request. Returns false if that is of no use.
+    asio::awaitable<bool> wait_for_permit(const request_stages* stages) const;
     void record_broken(const forward_attempt& attempt) const;
     milliseconds time_left() const;
 
--- a/src/connection/backend_caller.cpp
+++ b/src/connection/backend_caller.cpp
@@ -28,11 +28,10 @@
 {
 }
 
-asio::awaitable<std::optional<text_response>>
-backend_caller::call(std::shared_ptr<const backend_server> to,
-                     text_request request, milliseconds limit,
-                     std::weak_ptr<backend_exchange>* running,
-                     error_code* connect_error)
+asio::awaitable<std::optional<text_response>> backend_caller::call(
+    std::shared_ptr<const backend_server> to, text_request request,
+    send_permit permit, milliseconds limit,
+    std::weak_ptr<backend_exchange>* running, error_code* connect_error)
 {
     const auto lease = co_await connections_.acquire(to, connect_limit);
     if (!lease.connection)
@@ -44,8 +43,8 @@
         co_return std::nullopt;
     }
     auto current = std::make_shared<backend_exchange>(
-        to, lease.connection, protocol_, listener_, std::move(request),
-        std::string());
+        to, lease.connection, std::move(permit), protocol_, listener_,
+        std::move(request), std::string());
     if (running != nullptr)
     {
         *running = current;
--- a/src/connection/backend_caller.hpp
+++ b/src/connection/backend_caller.hpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 #include "connection/asio_types.hpp"
 #include "connection/backend_exchange.hpp"
+#include "request/send_permit.hpp"
 
 #include <memory>
 #include <optional>
@@ -29,7 +30,8 @@
     /// If `connect_error` is not null, it is set if no connection was opened.
     asio::awaitable<std::optional<text_response>>
     call(std::shared_ptr<const backend_server> to, text_request request,
-         milliseconds limit, std::weak_ptr<backend_exchange>* running = nullptr,
+         send_permit permit, milliseconds limit,
+         std::weak_ptr<backend_exchange>* running = nullptr,
          error_code* connect_error = nullptr);
 
     /// Closes the idle connections to a server.
--- a/src/connection/backend_exchange.cpp
+++ b/src/connection/backend_exchange.cpp
@@ -21,13 +21,13 @@
 
 backend_exchange::backend_exchange(
     std::shared_ptr<const backend_server> server,
-    std::shared_ptr<backend_connection> connection,
+    std::shared_ptr<backend_connection> connection, send_permit permit,
     const forward_protocol& protocol, answer_listener listener,
     text_request request, std::string expected_id)
     : server_(std::move(server)), connection_(std::move(connection)),
-      protocol_(protocol), listener_(std::move(listener)),
-      request_(std::move(request)), expected_id_(std::move(expected_id)),
-      serializer_(request_)
+      permit_(std::move(permit)), protocol_(protocol),
+      listener_(std::move(listener)), request_(std::move(request)),
+      expected_id_(std::move(expected_id)), serializer_(request_)
 {
 }
 
@@ -41,7 +41,7 @@
         {
             co_return false;
         }
-        if (expected_id_.empty() || metadata_.request_id == expected_id_)
+        if (is_expected())
         {
             co_return true;
         }
@@ -107,6 +107,11 @@
     return complete() && ends_with_connection();
 }
 
+bool backend_exchange::is_expected() const
+{
+    return expected_id_.empty() || metadata_.request_id == expected_id_;
+}
+
 bool backend_exchange::ends_with_connection() const
 {
     return parser_->need_eof();
@@ -120,6 +125,7 @@
 void backend_exchange::write_request()
 {
     sent_ = true;
+    sent_at_ = boot_clock::now();
     http::async_write(
         connection_->socket(), serializer_,
         [self = shared_from_this()](const error_code& error, std::size_t bytes)
@@ -129,6 +135,10 @@
             {
                 self->sent_ = false;
             }
+            else
+            {
+                self->permit_.use();
+            }
         });
 }
 
@@ -152,7 +162,7 @@
     metadata_ = protocol_.read_answer(parser_->get().base());
     if (listener_)
     {
-        listener_(*server_, metadata_);
+        listener_({*server_, metadata_, sent_at_, is_expected()});
     }
     co_return true;
 }
--- a/src/connection/backend_exchange.hpp
+++ b/src/connection/backend_exchange.hpp
@@ -2,6 +2,7 @@
 
 #include "connection/asio_types.hpp"
 #include "connection/forward_protocol.hpp"
+#include "request/send_permit.hpp"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
@@ -16,10 +17,18 @@
 class backend_connection;
 struct backend_server;
 
-/// Called with the head of every answer of a backend server, also of one that
-/// is skipped, before its body is read.
-using answer_listener =
-    std::function<void(const backend_server&, const answer_metadata&)>;
+/// Head of an answer of a backend server.
+struct received_head final
+{
+    const backend_server& server;
+    const answer_metadata& metadata;
+    boot_clock::time_point request_sent;
+    bool expected; ///< false: it answers another request and is skipped
+};
+
+/// Called with the head of every answer of a backend server, before its body is
+/// read.
+using answer_listener = std::function<void(const received_head&)>;
 
 /// One request and its answer on a connection to a backend server.
 ///
@@ -30,13 +39,15 @@
     : public std::enable_shared_from_this<backend_exchange>
 {
 public:
-    /// `server`: at the other end of the connection. `listener`: may be null,
+    /// `server`: at the other end of the connection. `permit`: used up unless
+    /// no byte of the request reaches the connection. `listener`: may be null,
     /// as for peers. `expected_id`: request id that the answer must have;
     /// empty: any.
     backend_exchange(std::shared_ptr<const backend_server> server,
                      std::shared_ptr<backend_connection> connection,
-                     const forward_protocol& protocol, answer_listener listener,
-                     text_request request, std::string expected_id);
+                     send_permit permit, const forward_protocol& protocol,
+                     answer_listener listener, text_request request,
+                     std::string expected_id);
 
     /// Sends the request and reads the head of the answer. Returns false if the
     /// connection fails first.
@@ -78,15 +89,18 @@
     using parser = http::response_parser<http::string_body>;
 
     void write_request();
+    bool is_expected() const;
     asio::awaitable<bool> read_head();
     asio::awaitable<bool> skip_body();
 
     std::shared_ptr<const backend_server> server_;
     std::shared_ptr<backend_connection> connection_;
+    send_permit permit_;
     const forward_protocol& protocol_;
     answer_listener listener_;
     text_request request_;
     std::string expected_id_;
+    boot_clock::time_point sent_at_;
     http::request_serializer<http::string_body> serializer_;
     std::unique_ptr<parser> parser_;
     answer_metadata metadata_;
--- a/src/connection/control_client.cpp
+++ b/src/connection/control_client.cpp
@@ -56,6 +56,8 @@
                   "finish what is in flight, then stop the process"},
     command_entry{"quarantine", "", "GET", "/quarantine", "parts",
                   "parts of prompts that a gateway refuses"},
+    command_entry{"limits", "", "GET", "/limits", "servers",
+                  "rate limits that servers named to gateways"},
     command_entry{"metrics", "", "GET", "/metrics", "", "text page of metrics"},
 };
 
--- a/src/connection/forward_protocol.hpp
+++ b/src/connection/forward_protocol.hpp
@@ -60,6 +60,10 @@
     bool server_leaving = false;
     /// Time in which the server wants no further requests.
     std::optional<milliseconds> hold;
+    /// Requests a second that the server takes from all processes together;
+    /// no_rate_limit: it names no limit. Nothing: the answer does not tell.
+    std::optional<double> rate_limit;
+    bool rate_limit_invalid = false; ///< it names one that is no rate
     std::optional<server_load> load;
     std::optional<milliseconds> keep_alive;
 };
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -9,6 +9,7 @@
 #include "connection/request_stages.hpp"
 #include "connection/response_writer.hpp"
 #include "connection/scoped_timeout.hpp"
+#include "connection/server_limit_guard.hpp"
 #include "connection/standby_attempt.hpp"
 #include "roles/gateway_settings.hpp"
 #include "roles/gateway_state.hpp"
@@ -291,10 +292,15 @@
                         retry_soon};
         details.reason =
             reason_of_end(last != nullptr ? "server refused" : details.reason);
-        const auto hold = context_.state.holds().remaining_of_all(
-            context_.state.directory().servers(accepted_.service),
-            boot_clock::now());
-        details.retry_delay = std::max(retry_soon, hold.value_or(retry_soon));
+        if (const auto pause =
+                context_.state.pause_of(accepted_.service, boot_clock::now()))
+        {
+            details.retry_delay = std::max(retry_soon, pause->retry_delay);
+            if (last == nullptr && !pause->held)
+            {
+                details = context_.server_limits.refuse(details.retry_delay);
+            }
+        }
         co_await responder_.refuse(
             context_.prompts.check(accepted_.metadata.prompt)
                 .value_or(std::move(details)));
@@ -351,6 +357,7 @@
     if (!attempt.has_answer())
     {
         sender_->count(attempt);
+        accepted_.place.reset();
         co_await attempt.start(limits(), stream_->begun());
     }
     if (attempt.streams())
--- a/src/connection/gateway_context.hpp
+++ b/src/connection/gateway_context.hpp
@@ -17,6 +17,7 @@
 class gateway_state;
 class metrics_registry;
 class prompt_guard;
+class server_limit_guard;
 class stage_dispatcher;
 struct gateway_settings;
 
@@ -32,6 +33,7 @@
     backend_pool& connections;
     stage_dispatcher& stages;
     prompt_guard& prompts;
+    server_limit_guard& server_limits;
     answer_listener listener; ///< of the answers of backend servers
     bool stopping = false;
     bool rejecting_requests = false; ///< stopping; new requests are rejected
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -94,18 +94,24 @@
           { return connection_limit(server); },
           metrics_),
       peers_({describe_self(settings_), settings_.own_region_zones()}),
-      listener_(
-          [this](const backend_server& server, const answer_metadata& metadata)
-          { on_answer(server, metadata); }),
+      listener_([this](const received_head& head) { on_answer(head); }),
       stages_(io_, settings_, protocol_, state_, peers_, connections_,
               listener_, metrics_),
       prompts_(state_.quarantine(), metrics_,
                [this](bool found_here) { quarantine_changed(found_here); }),
+      limits_(state_.limits(), state_.directory(), metrics_,
+              [this]
+              {
+                  if (heartbeats_)
+                  {
+                      heartbeats_->send_to_all_soon();
+                  }
+              }),
       updater_(
           state_, [this] { topology_changed(); },
           [this](const std::string& id) { remove_server(id); }),
       context_{io_,          settings_, protocol_, metrics_, state_,
-               connections_, stages_,   prompts_,  listener_},
+               connections_, stages_,   prompts_,  limits_,  listener_},
       reader_activation_(io_),
       updates_(io_, state_, updater_, reader_activation_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
@@ -154,7 +160,7 @@
     peer_server_ = std::make_unique<peer_server>(io_, peers_.self().address,
                                                  stages_, updates_);
     heartbeats_ = std::make_unique<peer_heartbeats>(
-        io_, peers_, stages_, prompts_, settings_.seeds,
+        io_, peers_, stages_, prompts_, limits_, settings_.seeds,
         [this] { topology_changed(); }, metrics_);
     update_follower_ = std::make_unique<update_follower>(
         io_, state_, updater_, peers_, reader_activation_,
@@ -197,9 +203,11 @@
     stages_.forget(server);
 }
 
-void gateway_server::on_answer(const backend_server& server,
-                               const answer_metadata& metadata)
+void gateway_server::on_answer(const received_head& head)
 {
+    const backend_server& server = head.server;
+    const answer_metadata& metadata = head.metadata;
+    limits_.record_answer(head);
     if (metadata.server_leaving)
     {
         updater_.server_leaves(server);
@@ -342,6 +350,11 @@
         response.set(http::field::content_type, "application/json");
         response.body() = prompts_.status_text();
     }
+    else if (request.target() == "/limits")
+    {
+        response.set(http::field::content_type, "application/json");
+        response.body() = limits_.status_text();
+    }
     else
     {
         response.result(http::status::not_found);
@@ -362,6 +375,7 @@
                           {"backend_servers", state_.directory().size()},
                           {"peers", peers_.size()},
                           {"quarantined_parts", prompts_.size()},
+                          {"limited_servers", limits_.size()},
                           {"open_requests", context_.open_requests.size()},
                           {"open_callers", context_.open_callers}};
     return status.dump(2) + "\n";
@@ -449,6 +463,7 @@
         updater_.on_time(now);
         connections_.close_idle(now);
         prompts_.expire();
+        limits_.update(peers_);
         state_.set_process_count(peers_.max_recent_processes(now));
         const bool ready = state_.ready(now);
         if (ready != was_ready_)
--- a/src/connection/gateway_server.hpp
+++ b/src/connection/gateway_server.hpp
@@ -7,6 +7,7 @@
 #include "connection/backend_pool.hpp"
 #include "connection/gateway_context.hpp"
 #include "connection/prompt_guard.hpp"
+#include "connection/server_limit_guard.hpp"
 #include "connection/stage_dispatcher.hpp"
 #include "connection/store_reader_activation.hpp"
 #include "connection/update_source.hpp"
@@ -59,8 +60,7 @@
 private:
     std::size_t connection_limit(const backend_server& server);
     void remove_server(const std::string& server);
-    void on_answer(const backend_server& server,
-                   const answer_metadata& metadata);
+    void on_answer(const received_head& head);
     void topology_changed();
     void quarantine_changed(bool found_here);
     void accept_callers();
@@ -89,6 +89,7 @@
     answer_listener listener_;
     stage_dispatcher stages_;
     prompt_guard prompts_;
+    server_limit_guard limits_;
     gateway_state_updater updater_;
     gateway_context context_;
     std::shared_ptr<tcp::acceptor> caller_acceptor_;
--- a/src/connection/peer_heartbeats.cpp
+++ b/src/connection/peer_heartbeats.cpp
@@ -6,6 +6,7 @@
 #include "connection/listening_socket.hpp"
 #include "connection/prompt_guard.hpp"
 #include "connection/prompt_message.hpp"
+#include "connection/server_limit_guard.hpp"
 #include "connection/stage_dispatcher.hpp"
 #include "connection/task_message.hpp"
 #include "gateway.pb.h"
@@ -33,12 +34,17 @@
 /// other.
 constexpr std::size_t addresses_per_heartbeat = 6;
 
-/// The first heartbeats carry addresses and all suspicions, so that a new
-/// process is discovered and learns quickly, and then one in every
-/// heartbeats_per_address_list. Distant processes get every third or ninth
-/// heartbeat, so the number must not be a multiple of 3.
+/// The first heartbeats, and some after a process has joined, carry addresses
+/// and all suspicions and limits, so that a new process is discovered and
+/// learns quickly, and then one in every heartbeats_per_address_list. Distant
+/// processes get every third or ninth heartbeat, so the number must not be a
+/// multiple of 3.
 constexpr std::uint64_t initial_heartbeats = 20;
 constexpr std::uint64_t heartbeats_per_address_list = 7;
+constexpr std::uint64_t heartbeats_after_join = 3;
+
+/// Interval of heartbeats to all processes, also to distant ones.
+constexpr milliseconds min_interval_to_all{1000};
 
 constexpr milliseconds seed_interval{2000};
 
@@ -53,15 +59,17 @@
 peer_heartbeats::peer_heartbeats(asio::io_context& io, peer_directory& peers,
                                  stage_dispatcher& stages,
                                  prompt_guard& prompts,
+                                 server_limit_guard& limits,
                                  std::vector<std::string> seeds,
                                  std::function<void()> changed,
                                  metrics_registry& metrics)
     : io_(io), peers_(peers), stages_(stages), prompts_(prompts),
-      seeds_(std::move(seeds)), changed_(std::move(changed)),
+      limits_(limits), seeds_(std::move(seeds)), changed_(std::move(changed)),
       sent_(metrics.counter("mangolink_beats_total", "how=\"sent\"")),
       received_(metrics.counter("mangolink_beats_total", "how=\"received\"")),
       invalid_(metrics.counter("mangolink_beats_total", "how=\"unreadable\"")),
-      kind_(heartbeat_kind::liveness), socket_(io)
+      first_regular_(initial_heartbeats), kind_(heartbeat_kind::liveness),
+      socket_(io)
 {
     const auto& own = peers_.self().address;
     const asio::ip::udp::endpoint endpoint(asio::ip::make_address(own.host),
@@ -83,9 +91,20 @@
 
 void peer_heartbeats::send_to_all()
 {
+    all_waiting_ = false;
+    last_to_all_ = boot_clock::now();
     send(0);
 }
 
+void peer_heartbeats::send_to_all_soon()
+{
+    all_waiting_ = true;
+    if (boot_clock::now() - last_to_all_ >= min_interval_to_all)
+    {
+        send_to_all();
+    }
+}
+
 void peer_heartbeats::send(std::uint64_t heartbeat_number)
 {
     const auto load_reports = stages_.load_reports();
@@ -149,7 +168,15 @@
                        {{"process", name}});
             changed_();
         }
-        send(heartbeat_number_++);
+        ++heartbeat_number_;
+        if (all_waiting_ && now - last_to_all_ >= min_interval_to_all)
+        {
+            send_to_all();
+        }
+        else
+        {
+            send(heartbeat_number_ - 1);
+        }
         co_await pause(io_, interval());
     }
 }
@@ -202,6 +229,7 @@
     {
         merge_prompts(heartbeat);
     }
+    limits_.merge(heartbeat, delayed);
     if (change == peer_change::none)
     {
         return;
@@ -209,6 +237,11 @@
     static constexpr const char* names[] = {"unchanged", "Process joined.",
                                             "Process restarted.",
                                             "Process is stopping."};
+    if (change != peer_change::stopping)
+    {
+        first_regular_ =
+            std::max(first_regular_, heartbeat_number_ + heartbeats_after_join);
+    }
     log_notice("peers", names[static_cast<std::size_t>(change)],
                {{"process", from.name},
                 {"zone", from.zone},
@@ -247,12 +280,13 @@
     }
     const auto now = boot_clock::now();
     write_outcomes(prompts_.outcomes(), now, heartbeat);
-    const bool complete = heartbeat_number_ < initial_heartbeats ||
+    const bool complete = heartbeat_number_ < first_regular_ ||
                           heartbeat_number_ % heartbeats_per_address_list == 0;
     for (const auto& suspicion : prompts_.report(complete))
     {
         write_suspicion(suspicion, now, *heartbeat.add_prompts());
     }
+    limits_.write(heartbeat, complete);
     if (complete)
     {
         auto known = peers_.live_addresses();
--- a/src/connection/peer_heartbeats.hpp
+++ b/src/connection/peer_heartbeats.hpp
@@ -23,21 +23,22 @@
 class metrics_registry;
 class peer_directory;
 class prompt_guard;
+class server_limit_guard;
 class stage_dispatcher;
 enum class heartbeat_kind : std::uint8_t;
 struct named_load_report;
 
 /// Sends and receives heartbeat datagrams between processes of the same role,
-/// which report liveness, the load of stage servers and prompts that may crash
-/// servers. Lost datagrams are not
-/// retransmitted, since the next one supersedes them. Used by one thread.
+/// which report liveness, the load of stage servers, prompts that may crash
+/// servers and rate limits of servers. Lost datagrams are not retransmitted,
+/// since the next one supersedes them. Used by one thread.
 class peer_heartbeats final
 {
 public:
     /// Starts immediately. `changed` is called after a peer joined or left.
     peer_heartbeats(asio::io_context& io, peer_directory& peers,
                     stage_dispatcher& stages, prompt_guard& prompts,
-                    std::vector<std::string> seeds,
+                    server_limit_guard& limits, std::vector<std::string> seeds,
                     std::function<void()> changed, metrics_registry& metrics);
     ~peer_heartbeats();
 
@@ -50,6 +51,10 @@
     /// Sends a heartbeat to all peers immediately, after a state change.
     void send_to_all();
 
+    /// The same after a change that may be one of many: at once, or with one of
+    /// the next heartbeats.
+    void send_to_all_soon();
+
 private:
     asio::awaitable<void> receive_loop();
     asio::awaitable<void> send_loop();
@@ -67,13 +72,18 @@
     peer_directory& peers_;
     stage_dispatcher& stages_;
     prompt_guard& prompts_;
+    server_limit_guard& limits_;
     std::vector<std::string> seeds_;
     std::function<void()> changed_;
     event_counter& sent_;
     event_counter& received_;
     event_counter& invalid_;
     std::uint64_t heartbeat_number_ = 0; ///< heartbeats sent so far
-    heartbeat_kind kind_;                ///< of the last one
+    std::uint64_t
+        first_regular_;        ///< the ones before it carry all that is known
+    bool all_waiting_ = false; ///< for the next heartbeat to all
+    boot_clock::time_point last_to_all_;
+    heartbeat_kind kind_; ///< of the last one
     boot_clock::time_point last_receipt_;
     absl::BitGen random_;
     asio::ip::udp::socket socket_;
--- a/src/connection/request_check.cpp
+++ b/src/connection/request_check.cpp
@@ -4,6 +4,7 @@
 #include "connection/gateway_context.hpp"
 #include "connection/http_headers.hpp"
 #include "connection/prompt_guard.hpp"
+#include "connection/server_limit_guard.hpp"
 #include "connection/stage_dispatcher.hpp"
 #include "request/stage_plan.hpp"
 #include "roles/gateway_settings.hpp"
@@ -75,6 +76,7 @@
         std::min(result_.metadata.time_left.value_or(result_.route->time_limit),
                  result_.route->time_limit);
     choose_service();
+    context_.state.limits().demand().count(result_.service);
     context_.state.retry_budget_of(result_.service)
         .count_request(result_.arrival);
     return check_capacity();
@@ -152,14 +154,54 @@
         return refusal{http::status::service_unavailable, "no server",
                        retry_soon};
     }
-    const auto hold =
-        context_.state.holds().remaining_of_all(servers, boot_clock::now());
-    if (hold)
+    if (auto refused = check_pause())
     {
-        return refusal{http::status::service_unavailable, "servers held",
-                       std::max(*hold, retry_soon)};
+        return refused;
+    }
+    if (auto refused = check_stage_time())
+    {
+        return refused;
+    }
+    return reserve_place();
+}
+
+std::optional<refusal> request_check::check_pause() const
+{
+    // A request with stages needs a server later: reserve_place().
+    const bool has_stages = !result_.route->stages.empty();
+    const auto now = boot_clock::now();
+    const auto& servers = context_.state.directory().servers(result_.service);
+    if (has_stages && !context_.state.holds().remaining_of_all(servers, now))
+    {
+        return std::nullopt;
     }
-    return check_stage_time();
+    const auto pause = context_.state.pause_of(result_.service, now);
+    if (!pause)
+    {
+        return std::nullopt;
+    }
+    return pause->held
+               ? refusal{http::status::service_unavailable, "servers held",
+                         std::max(pause->retry_delay, retry_soon)}
+               : context_.server_limits.refuse(pause->retry_delay);
+}
+
+std::optional<refusal> request_check::reserve_place()
+{
+    if (result_.route->stages.empty())
+    {
+        return std::nullopt;
+    }
+    const auto now = boot_clock::now();
+    auto place = context_.state.reserve_place(
+        result_.service, result_.expected_stages_time, now);
+    if (!place)
+    {
+        return context_.server_limits.refuse(context_.state.limit_retry_delay(
+            result_.service, milliseconds(0), now));
+    }
+    result_.place = std::move(*place);
+    return std::nullopt;
 }
 
 std::optional<refusal> request_check::check_prompt() const
--- a/src/connection/stage_call_sender.cpp
+++ b/src/connection/stage_call_sender.cpp
@@ -32,7 +32,7 @@
 asio::awaitable<stage_call_result>
 stage_call_sender::send(server_pointer server,
                         const std::vector<waiting_item>& items,
-                        milliseconds limit)
+                        send_permit permit, milliseconds limit)
 {
     std::vector<stage_call_item> call_items;
     const auto now = boot_clock::now();
@@ -52,9 +52,9 @@
     asio::co_spawn(io_, replace_overdue(running, server, limit),
                    failure_log("overdue stage call"));
     error_code connect_error;
-    const auto answer = co_await calls_.call(server, std::move(request),
-                                             limit + silence_allowance,
-                                             running.get(), &connect_error);
+    const auto answer = co_await calls_.call(
+        server, std::move(request), std::move(permit),
+        limit + silence_allowance, running.get(), &connect_error);
     running->reset(); // the connection may be used by another call by now
     if (!answer)
     {
--- a/src/connection/stage_call_sender.hpp
+++ b/src/connection/stage_call_sender.hpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.hpp"
 #include "connection/asio_types.hpp"
+#include "request/send_permit.hpp"
 #include "request/stage_task.hpp"
 
 #include <functional>
@@ -43,7 +44,7 @@
     /// overdue.
     asio::awaitable<stage_call_result>
     send(server_pointer server, const std::vector<waiting_item>& items,
-         milliseconds limit);
+         send_permit permit, milliseconds limit);
 
 private:
     /// Ends a call that is overdue as soon as another server can be used.
--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -30,8 +30,17 @@
 /// includes releases in flight.
 constexpr milliseconds memory_query_delay{100};
 
-/// A hold may end early, with another start of the server.
-constexpr milliseconds hold_check_interval{100};
+/// A hold or a limit may end early, with another start of the server.
+constexpr milliseconds permit_check_interval{100};
+
+/// Releases take at most one in this many of the calls to a server with a rate
+/// limit, unless it has no memory left for results.
+constexpr double calls_per_release = 4;
+
+/// Shorter call times count as this, to bound the slowdown of a limited server.
+constexpr double min_call_seconds = 0.01;
+
+constexpr std::chrono::duration<double> max_release_delay{2};
 
 } // namespace
 
@@ -39,12 +48,12 @@
                            const forward_protocol& protocol,
                            gateway_state& state, stage_router& router,
                            backend_caller& calls, metrics_registry& metrics,
-                           result_release release)
+                           result_release release, owner_check owns)
     : io_(io), protocol_(protocol), state_(state), router_(router),
       calls_(calls), metrics_(metrics), release_(std::move(release)),
-      sender_(io, protocol, calls,
-              [this](const backend_server& server)
-              { return has_alternative(server); })
+      owns_(std::move(owns)), sender_(io, protocol, calls,
+                                      [this](const backend_server& server)
+                                      { return has_alternative(server); })
 {
 }
 
@@ -167,16 +176,16 @@
 {
     const auto user = entry.users;
     entry.processing_scheduled = false;
-    auto items = take_next_call(entry);
-    if (!items.empty())
+    auto call = take_next_call(entry);
+    if (!call.items.empty())
     {
         // The entry loses its server when that is removed during the call.
         const auto server = entry.server;
-        co_await make_call(entry, server, std::move(items));
+        co_await make_call(entry, server, std::move(call));
     }
 }
 
-std::vector<waiting_item> stage_caller::take_next_call(server_entry& entry)
+stage_caller::next_call stage_caller::take_next_call(server_entry& entry)
 {
     const auto now = boot_clock::now();
     const auto load_report = load_report_of(entry);
@@ -196,13 +205,35 @@
         entry.queue.configure(*pool_parameters);
     }
     return_items(entry.queue.remove_expired(now), stage_item_outcome::late);
-    std::vector<waiting_item> items;
-    if (!state_.holds().is_held(*entry.server, now))
+    next_call call;
+    call.permit = take_permit(entry);
+    if (call.permit)
     {
-        items = entry.queue.begin_call(now);
+        call.items = entry.queue.begin_call(now);
+    }
+    else if (const auto wait = state_.limits().time_until_permit(
+                 *entry.server, role_for(*entry.server), now);
+             entry.queue.busy() && wait)
+    {
+        schedule_processing_after(entry,
+                                  std::max(*wait, load_report.ejected_for));
     }
     update_router(entry, entry.server->id);
-    return items;
+    return call;
+}
+
+std::optional<send_permit> stage_caller::take_permit(server_entry& entry)
+{
+    const auto now = boot_clock::now();
+    return state_.holds().is_held(*entry.server, now)
+               ? std::nullopt
+               : state_.limits().acquire(*entry.server, role_for(*entry.server),
+                                         now);
+}
+
+sender_role stage_caller::role_for(const backend_server& server) const
+{
+    return owns_(server) ? sender_role::owner : sender_role::substitute;
 }
 
 server_load_report stage_caller::load_report_of(server_entry& entry) const
@@ -213,17 +244,49 @@
     {
         report.ejected_for = std::max(
             report.ejected_for, state_.holds().remaining(*entry.server, now));
+        const auto limit = state_.limits().limit_of(*entry.server);
+        const auto* pool = state_.find_stage_pool(entry.server->service);
+        if (limit && pool != nullptr)
+        {
+            const std::chrono::duration<double> call_time =
+                pool->call_time + pool->item_time * pool->batch_size;
+            const auto share = state_.limits().share_of(
+                *entry.server, role_for(*entry.server), now);
+            report.slowdown =
+                std::max(report.slowdown,
+                         1 / (share.per_second *
+                              std::max(call_time.count(), min_call_seconds)));
+        }
     }
     return report;
 }
 
-asio::awaitable<void> stage_caller::wait_for_hold(server_entry& entry)
+asio::awaitable<std::optional<send_permit>>
+stage_caller::wait_for_permit(server_entry& entry)
+{
+    while (entry.server)
+    {
+        if (auto permit = take_permit(entry))
+        {
+            co_return permit;
+        }
+        co_await pause(io_, permit_check_interval);
+    }
+    co_return std::nullopt;
+}
+
+milliseconds stage_caller::release_delay(const server_entry& entry) const
 {
-    while (entry.server &&
-           state_.holds().is_held(*entry.server, boot_clock::now()))
+    const auto limit =
+        entry.server ? state_.limits().limit_of(*entry.server) : std::nullopt;
+    if (!limit)
     {
-        co_await pause(io_, hold_check_interval);
+        return release_batch_delay;
     }
+    const std::chrono::duration<double> delay(calls_per_release / *limit);
+    return std::max(
+        release_batch_delay,
+        std::chrono::ceil<milliseconds>(std::min(delay, max_release_delay)));
 }
 
 void stage_caller::update_router(server_entry& entry, const std::string& server)
@@ -277,14 +340,16 @@
 
 asio::awaitable<void> stage_caller::make_call(server_entry& entry,
                                               server_pointer server,
-                                              std::vector<waiting_item> items)
+                                              next_call call)
 {
+    const auto& items = call.items;
     const auto start_time = boot_clock::now();
     const auto limit = entry.queue.call_timeout(items.size());
     stage_call_result result;
     try
     {
-        result = co_await sender_.send(server, items, limit);
+        result = co_await sender_.send(server, items, std::move(*call.permit),
+                                       limit);
     }
     catch (...) // the call counts as lost, so that the server's queue goes on
     {
@@ -425,8 +490,8 @@
 asio::awaitable<void> stage_caller::release_results(server_entry& entry)
 {
     const auto user = entry.users;
-    co_await pause(io_, release_batch_delay);
-    co_await wait_for_hold(entry);
+    co_await pause(io_, release_delay(entry));
+    auto permit = co_await wait_for_permit(entry);
     entry.release_scheduled = false;
     const auto handles = std::exchange(entry.results_to_free, {});
     bool released = false;
@@ -435,15 +500,16 @@
         if (i > 0)
         {
             co_await pause(io_, release_retry_delay);
+            permit = co_await wait_for_permit(entry);
         }
         const auto server = entry.server;
-        if (!server)
+        if (!server || !permit)
         {
             co_return; // the results were lost with their server
         }
         text_request request = protocol_.release_call(*server, handles);
-        const auto answer =
-            co_await calls_.call(server, std::move(request), release_timeout);
+        const auto answer = co_await calls_.call(
+            server, std::move(request), std::move(*permit), release_timeout);
         released = answer.has_value();
     }
     if (!released)
@@ -461,16 +527,16 @@
 {
     const auto user = entry.users;
     co_await pause(io_, memory_query_delay);
-    co_await wait_for_hold(entry);
+    auto permit = co_await wait_for_permit(entry);
     entry.memory_query_pending = false;
     const auto server = entry.server;
-    if (!server)
+    if (!server || !permit)
     {
         co_return;
     }
     text_request request = protocol_.memory_query(*server);
-    const auto answer =
-        co_await calls_.call(server, std::move(request), release_timeout);
+    const auto answer = co_await calls_.call(
+        server, std::move(request), std::move(*permit), release_timeout);
     const auto free = answer && answer->result() == http::status::ok
                           ? protocol_.read_memory_query(answer->body())
                           : std::nullopt;
--- a/src/connection/stage_caller.hpp
+++ b/src/connection/stage_caller.hpp
@@ -23,6 +23,7 @@
 class gateway_state;
 class metrics_registry;
 class stage_router;
+enum class sender_role : std::uint8_t;
 
 /// Load report of a stage server that this process calls.
 struct named_load_report final
@@ -39,10 +40,13 @@
     /// Releases unwanted results on whichever servers hold them.
     using result_release = std::function<void(std::vector<std::string>)>;
 
+    /// Returns whether this process makes the calls of a server.
+    using owner_check = std::function<bool(const backend_server&)>;
+
     stage_caller(asio::io_context& io, const forward_protocol& protocol,
                  gateway_state& state, stage_router& router,
                  backend_caller& calls, metrics_registry& metrics,
-                 result_release release);
+                 result_release release, owner_check owns);
     ~stage_caller();
 
     stage_caller(const stage_caller&) = delete;
@@ -97,10 +101,25 @@
     /// call can hold all tasks that they add.
     void schedule_processing(server_entry& entry);
     asio::awaitable<void> process_queue(server_entry& entry);
-    std::vector<waiting_item> take_next_call(server_entry& entry);
-    /// Returns the load of a server, which is ejected while it is held.
+    struct next_call final
+    {
+        std::vector<waiting_item> items;
+        std::optional<send_permit> permit; ///< set if there are items
+    };
+    next_call take_next_call(server_entry& entry);
+
+    /// Returns the load of a server, which is ejected while it is held and
+    /// slower while its rate is limited.
     server_load_report load_report_of(server_entry& entry) const;
-    asio::awaitable<void> wait_for_hold(server_entry& entry);
+
+    /// Returns a permit for a call to a server with an entry, or nothing now.
+    std::optional<send_permit> take_permit(server_entry& entry);
+
+    /// Waits for a permit. Returns nothing if the server is removed.
+    asio::awaitable<std::optional<send_permit>>
+    wait_for_permit(server_entry& entry);
+    sender_role role_for(const backend_server& server) const;
+    milliseconds release_delay(const server_entry& entry) const;
     /// Makes the current load known to the router.
     void update_router(server_entry& entry, const std::string& server);
     bool has_alternative(const backend_server& server) const;
@@ -108,7 +127,7 @@
     static void return_items(const std::vector<waiting_item>& items,
                              stage_item_outcome end);
     asio::awaitable<void> make_call(server_entry& entry, server_pointer server,
-                                    std::vector<waiting_item> items);
+                                    next_call call);
 
     /// Returns whether the answer of a call has results of an earlier one.
     static bool repeats_results(server_entry& entry,
@@ -128,6 +147,7 @@
     backend_caller& calls_;
     metrics_registry& metrics_;
     result_release release_;
+    owner_check owns_;
     stage_call_sender sender_;
     absl::flat_hash_map<std::string, std::unique_ptr<server_entry>> entries_;
 };
--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -46,9 +46,11 @@
       router_({settings.name, settings.zone, settings.own_region_zones()}),
       calls_(io, protocol, connections, nullptr),
       server_calls_(io, protocol, connections, std::move(listener)),
-      caller_(io, protocol, state, router_, server_calls_, metrics,
-              [this](const std::vector<std::string>& handles)
-              { release(handles); })
+      caller_(
+          io, protocol, state, router_, server_calls_, metrics,
+          [this](const std::vector<std::string>& handles) { release(handles); },
+          [this](const backend_server& server)
+          { return owner_of(server) == nullptr; })
 {
 }
 
@@ -194,7 +196,8 @@
     const auto pending = std::make_shared<open_task>(open_task{owner, {}});
     open_tasks_.push_back(pending);
     const auto answer = co_await calls_.call(std::move(to), std::move(request),
-                                             limit, &pending->exchange);
+                                             send_permit::unlimited(), limit,
+                                             &pending->exchange);
     std::erase(open_tasks_, pending);
     if (handle_reply(*task, answer) || !task->wanted())
     {
@@ -279,8 +282,9 @@
     text_request request =
         peer_request(owner, release_path, encode_release(message));
     auto to = to_backend_server(owner);
-    const auto answer = co_await calls_.call(std::move(to), std::move(request),
-                                             release_timeout);
+    const auto answer =
+        co_await calls_.call(std::move(to), std::move(request),
+                             send_permit::unlimited(), release_timeout);
     if (!answer)
     {
         caller_.enqueue_release(server, handles);
--- a/src/connection/update_follower.cpp
+++ b/src/connection/update_follower.cpp
@@ -131,8 +131,9 @@
         peer_request(from, update_path, encode_update_request(known));
     auto to = to_backend_server(from);
     const milliseconds limit = wait + response_timeout_margin;
-    const auto reply = co_await calls_.call(std::move(to), std::move(request),
-                                            limit, &exchange_);
+    const auto reply =
+        co_await calls_.call(std::move(to), std::move(request),
+                             send_permit::unlimited(), limit, &exchange_);
     if (!reply || reply->result() != http::status::ok)
     {
         co_return false;
--- a/src/process/backend_directory.cpp
+++ b/src/process/backend_directory.cpp
@@ -197,6 +197,17 @@
     return found->second.server;
 }
 
+std::vector<backend_directory::server_pointer> backend_directory::all() const
+{
+    std::vector<server_pointer> result;
+    result.reserve(servers_.size());
+    for (const auto& [id, entry] : servers_)
+    {
+        result.push_back(entry.server);
+    }
+    return result;
+}
+
 backend_directory::server_pointer
 backend_directory::find_address(std::string_view address) const
 {
--- a/src/process/backend_directory.hpp
+++ b/src/process/backend_directory.hpp
@@ -86,6 +86,9 @@
     /// Returns the usable server at an address, or null.
     server_pointer find_address(std::string_view address) const;
 
+    /// Returns the servers that are known, also leaving ones.
+    std::vector<server_pointer> all() const;
+
     std::size_t size() const { return servers_.size(); }
 
     /// Returns a counter that increases with every change of usable servers.
--- /dev/null
+++ b/src/process/limit_shares.cpp
@@ -0,0 +1,161 @@
+#include "process/limit_shares.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mangolink
+{
+namespace
+{
+
+/// The sizes of all buckets for a server add up to this much: a constant and
+/// the requests of a part of a second.
+constexpr double burst_tokens = 2;
+constexpr double burst_seconds = 0.5;
+
+/// Smallest bucket. With fewer tokens, pauses between requests go unused.
+constexpr double min_bucket = 2;
+
+/// A process that is not heard for a shorter time goes on being a sender, as
+/// heartbeats may be lost.
+constexpr milliseconds silence_grace{3000};
+
+/// Time for which the share of a silent process stays reserved, and for which
+/// others use more than `min_fraction` of a limit only if it is theirs. So two
+/// halves of a fleet that is cut in two never exceed a limit by half.
+constexpr milliseconds full_reserve_time{30'000};
+constexpr milliseconds partial_reserve_time{300'000};
+constexpr double min_fraction = 0.6;
+
+/// Part of a limit that a process other than the owner may use.
+constexpr double other_fraction = 0.25;
+
+double total_burst(double per_second)
+{
+    return burst_tokens + burst_seconds * per_second;
+}
+
+} // namespace
+
+limit_shares::limit_shares(std::string self)
+    : self_(std::move(self)), senders_{self_}
+{
+    processes_[self_];
+}
+
+void limit_shares::set_demand(const std::string& process,
+                              const demand_levels& levels)
+{
+    const auto found = processes_.find(process);
+    if (found != processes_.end() && found->second.demand != levels)
+    {
+        found->second.demand = levels;
+        changed_ = true;
+    }
+}
+
+void limit_shares::update(const std::vector<limit_process>& alive,
+                          boot_clock::time_point now)
+{
+    std::vector<std::string> senders;
+    for (const auto& process : alive)
+    {
+        if (process.stopping)
+        {
+            processes_.erase(process.name);
+            continue;
+        }
+        processes_[process.name].last_alive = now;
+    }
+    absl::erase_if(
+        processes_, [now](const auto& pair)
+        { return now - pair.second.last_alive > partial_reserve_time; });
+    for (const auto& [name, entry] : processes_)
+    {
+        if (now - entry.last_alive <= silence_grace)
+        {
+            senders.push_back(name);
+        }
+    }
+    if (senders.empty())
+    {
+        processes_[self_].last_alive = now;
+        senders.push_back(self_); // all are stopping
+    }
+    const double fraction = usable_fraction(senders.size(), now);
+    std::sort(senders.begin(), senders.end());
+    if (changed_ || senders != senders_ || fraction != fraction_)
+    {
+        senders_ = std::move(senders);
+        fraction_ = fraction;
+        changed_ = false;
+        ++version_;
+    }
+}
+
+double limit_shares::usable_fraction(std::size_t alive,
+                                     boot_clock::time_point now) const
+{
+    const bool reserved = std::any_of(
+        processes_.begin(), processes_.end(),
+        [now](const auto& pair)
+        {
+            const auto silence = now - pair.second.last_alive;
+            return silence > silence_grace && silence <= full_reserve_time;
+        });
+    const double fraction =
+        static_cast<double>(alive) / static_cast<double>(processes_.size());
+    return reserved ? fraction : std::max(fraction, min_fraction);
+}
+
+limit_share limit_shares::share(std::uint64_t server_start,
+                                std::uint64_t service, double per_second) const
+{
+    std::vector<std::pair<double, const std::string*>> ranks;
+    ranks.reserve(senders_.size());
+    const bool any_demand = std::any_of(senders_.begin(), senders_.end(),
+                                        [&](const auto& name)
+                                        { return demand(name, service) > 0; });
+    for (const auto& name : senders_)
+    {
+        const double weight = any_demand ? demand(name, service) : 1;
+        if (weight > 0)
+        {
+            ranks.emplace_back(
+                weighted_rank(stable_hash(name, server_start), weight), &name);
+        }
+    }
+    const double burst = total_burst(per_second);
+    const auto count = std::min(
+        ranks.size(), static_cast<std::size_t>(std::floor(burst / min_bucket)));
+    std::partial_sort(ranks.begin(),
+                      ranks.begin() + static_cast<std::ptrdiff_t>(count),
+                      ranks.end(), std::greater<>());
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        if (*ranks[i].second == self_)
+        {
+            const auto parts = static_cast<double>(count);
+            return {per_second * fraction_ / parts, burst / parts};
+        }
+    }
+    return {};
+}
+
+limit_share limit_shares::owner_share(bool owner, double per_second) const
+{
+    const double rate = per_second * fraction_ * (owner ? 1 : other_fraction);
+    return {rate, owner ? total_burst(per_second) : 1};
+}
+
+double limit_shares::demand(const std::string& process,
+                            std::uint64_t service) const
+{
+    const auto& levels = processes_.at(process).demand;
+    const auto found = levels.find(service);
+    return found == levels.end() ? 0 : std::exp2(found->second);
+}
+
+} // namespace mangolink
--- a/src/process/peer_directory.cpp
+++ b/src/process/peer_directory.cpp
@@ -120,6 +120,16 @@
     return unresponsive;
 }
 
+std::vector<const peer*> peer_directory::all() const
+{
+    std::vector<const peer*> result;
+    for (const auto& [name, entry] : peers_)
+    {
+        result.push_back(&entry.info);
+    }
+    return result;
+}
+
 std::vector<socket_address> peer_directory::live_addresses() const
 {
     std::vector<socket_address> result;
--- a/src/process/peer_directory.hpp
+++ b/src/process/peer_directory.hpp
@@ -88,6 +88,9 @@
     /// Returns the mean number of peers that a heartbeat is sent to.
     double mean_heartbeat_targets(heartbeat_kind kind) const;
 
+    /// Returns all live peers.
+    std::vector<const peer*> all() const;
+
     /// Returns the addresses of all live peers.
     std::vector<socket_address> live_addresses() const;
 
--- a/src/request/customer_limiter.hpp
+++ b/src/request/customer_limiter.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.hpp"
+#include "request/token_bucket.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -22,14 +23,7 @@
                              boot_clock::time_point now);
 
 private:
-    struct bucket final
-    {
-        double tokens = 0;
-        boot_clock::time_point filled;
-        bool started = false; ///< false until the first request
-    };
-
-    absl::flat_hash_map<std::string, bucket> buckets_;
+    absl::flat_hash_map<std::string, token_bucket> buckets_;
 };
 
 } // namespace mangolink
--- a/src/request/direct_balancer.cpp
+++ b/src/request/direct_balancer.cpp
@@ -42,6 +42,9 @@
 /// Additional cost per request in flight at the same server.
 constexpr double in_flight_cost_ms = 4;
 
+/// Benefit of a server with a rate limit, whose permits would be lost.
+constexpr double limited_gain_ms = 20;
+
 /// Servers whose costs differ by at most this much are considered equal.
 constexpr double equal_ms = 3;
 
@@ -249,6 +252,11 @@
         result -= affinity(server, preferences, pool) * token_gain_ms *
                   preferences.shared_tokens;
     }
+    const auto& limited = preferences.limited;
+    if (std::find(limited.begin(), limited.end(), server.id) != limited.end())
+    {
+        result -= limited_gain_ms;
+    }
     for (const auto& [zone, bytes] : preferences.bytes_in_zone)
     {
         result += zone == server.zone ? 0 : transfer_cost_ms(bytes);
--- a/src/request/direct_balancer.hpp
+++ b/src/request/direct_balancer.hpp
@@ -22,7 +22,9 @@
     /// Bytes of stage results that the server will read, by zone.
     absl::flat_hash_map<std::string, std::uint64_t> bytes_in_zone;
     std::vector<std::string> excluded; ///< ids of servers already tried
-    std::size_t bytes = 0;             ///< size of the request body
+    /// Ids of servers with a rate limit that this process may use now.
+    std::vector<std::string> limited;
+    std::size_t bytes = 0; ///< size of the request body
 };
 
 /// Outcome of sending a request to a server, as far as it concerns the health
@@ -44,7 +46,8 @@
 /// of about equal cost are used in turn. Requests with a long shared prompt
 /// prefix prefer one server of the whole pool, and those with a short one
 /// prefer one server of their zone, unless it is overloaded compared with the
-/// mean. Not thread-safe.
+/// mean. Servers with a rate limit, which few processes use, are preferred a
+/// little by these. Not thread-safe.
 class direct_balancer final
 {
 public:
--- /dev/null
+++ b/src/request/server_rate_limiter.cpp
@@ -0,0 +1,184 @@
+#include "request/server_rate_limiter.hpp"
+
+#include "base/hash.hpp"
+#include "process/backend_server.hpp"
+
+#include <algorithm>
+
+namespace mangolink
+{
+namespace
+{
+
+/// A server that takes less than this, or nothing, is asked so often whether
+/// its limit still holds.
+constexpr double min_per_second = 0.1;
+
+/// A longer time without any call means that the process was suspended.
+constexpr milliseconds max_pause{1000};
+
+std::uint64_t start_of(const backend_server& server)
+{
+    return stable_hash(server.id, server.started_ms);
+}
+
+} // namespace
+
+server_rate_limiter::server_rate_limiter(std::string self)
+    : self_(std::move(self)), shares_(self_)
+{
+}
+
+server_limit_change server_rate_limiter::record_answer(
+    const backend_server& server, double per_second,
+    boot_clock::time_point request_sent, boot_clock::time_point now)
+{
+    const bool limited = per_second < no_rate_limit;
+    return table_.add(
+        {start_of(server), per_second, limited ? now : request_sent}, true);
+}
+
+server_limit_change server_rate_limiter::merge(const server_limit_news& news)
+{
+    return table_.add(news, false);
+}
+
+std::optional<double>
+server_rate_limiter::limit_of(const backend_server& server) const
+{
+    return table_.limited() == 0 ? std::nullopt : table_.find(start_of(server));
+}
+
+std::optional<send_permit>
+server_rate_limiter::acquire(const backend_server& server, sender_role role,
+                             boot_clock::time_point now)
+{
+    auto* entry = find_entry(server, role, now);
+    if (entry == nullptr)
+    {
+        return send_permit::unlimited();
+    }
+    if (!entry->bucket.try_take())
+    {
+        return std::nullopt;
+    }
+    return send_permit(
+        [this, start = start_of(server)]
+        {
+            const auto found = entries_.find(start);
+            if (found != entries_.end())
+            {
+                found->second.bucket.put_back();
+            }
+        });
+}
+
+bool server_rate_limiter::may_send(const backend_server& server,
+                                   sender_role role, boot_clock::time_point now)
+{
+    const auto* entry = find_entry(server, role, now);
+    return entry == nullptr || entry->bucket.has_token();
+}
+
+std::optional<milliseconds> server_rate_limiter::time_until_permit(
+    const backend_server& server, sender_role role, boot_clock::time_point now)
+{
+    const auto* entry = find_entry(server, role, now);
+    if (entry == nullptr)
+    {
+        return milliseconds(0);
+    }
+    if (entry->share.burst == 0)
+    {
+        return std::nullopt;
+    }
+    return std::chrono::ceil<milliseconds>(
+        entry->bucket.time_until_token(entry->share.per_second));
+}
+
+double server_rate_limiter::expected_permits(const backend_server& server,
+                                             milliseconds time,
+                                             boot_clock::time_point now)
+{
+    const auto* entry = find_entry(server, sender_role::chosen, now);
+    const std::chrono::duration<double> seconds = time;
+    return entry == nullptr ? 0
+                            : entry->bucket.tokens() +
+                                  entry->share.per_second * seconds.count();
+}
+
+limit_share server_rate_limiter::share_of(const backend_server& server,
+                                          sender_role role,
+                                          boot_clock::time_point now)
+{
+    const auto* entry = find_entry(server, role, now);
+    return entry == nullptr ? limit_share{} : entry->share;
+}
+
+void server_rate_limiter::update(const std::vector<limit_process>& alive,
+                                 boot_clock::time_point now)
+{
+    check_time(now);
+    demand_.update(now);
+    shares_.set_demand(self_, demand_.current());
+    shares_.update(alive, now);
+    table_.expire(now);
+    absl::erase_if(entries_, [this](const auto& pair)
+                   { return !table_.find(pair.first); });
+}
+
+server_rate_limiter::server_entry*
+server_rate_limiter::find_entry(const backend_server& server, sender_role role,
+                                boot_clock::time_point now)
+{
+    check_time(now);
+    if (table_.limited() == 0)
+    {
+        return nullptr;
+    }
+    const auto start = start_of(server);
+    const auto limit = table_.find(start);
+    if (!limit)
+    {
+        return nullptr;
+    }
+    const double per_second = std::max(*limit, min_per_second);
+    const auto [found, added] =
+        entries_.try_emplace(start, server_entry{token_bucket(0, now), {}});
+    server_entry& entry = found->second;
+    entry.bucket.fill(entry.share.per_second, entry.share.burst, now);
+    if (added || entry.per_second != per_second || entry.role != role ||
+        entry.shares_version != shares_.version())
+    {
+        entry.share = make_share(server, role, per_second);
+        entry.per_second = per_second;
+        entry.role = role;
+        entry.shares_version = shares_.version();
+    }
+    return &entry;
+}
+
+limit_share server_rate_limiter::make_share(const backend_server& server,
+                                            sender_role role,
+                                            double per_second) const
+{
+    return role == sender_role::chosen
+               ? shares_.share(start_of(server), stable_hash(server.service),
+                               per_second)
+               : shares_.owner_share(role == sender_role::owner, per_second);
+}
+
+void server_rate_limiter::check_time(boot_clock::time_point now)
+{
+    if (now - last_time_ > max_pause)
+    {
+        for (auto& [start, entry] : entries_)
+        {
+            entry.bucket.fill(0, entry.share.burst, now);
+            entry.bucket.clear();
+        }
+    }
+    last_time_ = std::max(last_time_, now);
+}
+
+} // namespace mangolink
--- a/src/roles/gateway_state.cpp
+++ b/src/roles/gateway_state.cpp
@@ -2,6 +2,9 @@
 
 #include "roles/gateway_settings.hpp"
 
+#include <algorithm>
+#include <cmath>
+
 namespace mangolink
 {
 namespace
@@ -22,6 +25,9 @@
 /// Number of processes assumed to share the slack until peers are known.
 constexpr std::size_t assumed_processes = 8;
 
+/// Shortest Retry-After while servers limit their requests.
+constexpr milliseconds min_retry_delay{200};
+
 placement place_of(const gateway_settings& settings)
 {
     return {settings.name, settings.zone, settings.own_region_zones()};
@@ -35,7 +41,7 @@
                              settings.retry_window},
       slack_share_(1.0 / assumed_processes),
       freshness_(settings.revocation_limit, freshness_margin),
-      directory_(suspicion_timeout, place_of(settings)),
+      directory_(suspicion_timeout, place_of(settings)), limits_(settings.name),
       balancer_(place_of(settings)), quarantine_(settings.quarantine)
 {
 }
@@ -63,6 +69,86 @@
     return configuration_ && servers_listed_ && freshness_.keys_trusted(now);
 }
 
+std::optional<milliseconds>
+gateway_state::time_until_usable(const backend_server& server,
+                                 boot_clock::time_point now)
+{
+    const auto permit =
+        limits_.time_until_permit(server, sender_role::chosen, now);
+    return permit
+               ? std::optional(std::max(*permit, holds_.remaining(server, now)))
+               : std::nullopt;
+}
+
+std::optional<service_pause> gateway_state::pause_of(const std::string& service,
+                                                     boot_clock::time_point now)
+{
+    const auto& servers = directory_.servers(service);
+    std::optional<milliseconds> first;
+    for (const auto& server : servers)
+    {
+        const auto time = time_until_usable(*server, now);
+        if (time == milliseconds(0))
+        {
+            return std::nullopt;
+        }
+        first = first && time ? std::min(*first, *time) : time ? time : first;
+    }
+    if (servers.empty())
+    {
+        return std::nullopt;
+    }
+    if (const auto hold = holds_.remaining_of_all(servers, now))
+    {
+        return service_pause{true, *hold};
+    }
+    return service_pause{
+        false,
+        limit_retry_delay(service, first.value_or(min_retry_delay), now)};
+}
+
+milliseconds gateway_state::limit_retry_delay(const std::string& service,
+                                              milliseconds first,
+                                              boot_clock::time_point now)
+{
+    // Callers come back to any process, which refuse at about the same rate.
+    double per_second = 0;
+    for (const auto& server : directory_.servers(service))
+    {
+        per_second += limits_.limit_of(*server).value_or(0);
+    }
+    per_second /= static_cast<double>(limits_.shares().processes());
+    return returns_[service].next_delay(std::max(first, min_retry_delay),
+                                        per_second, now);
+}
+
+std::optional<std::shared_ptr<const void>>
+gateway_state::reserve_place(const std::string& service, milliseconds delay,
+                             boot_clock::time_point now)
+{
+    double permits = 0;
+    for (const auto& server : directory_.servers(service))
+    {
+        if (holds_.is_held(*server, now))
+        {
+            continue;
+        }
+        if (!limits_.limit_of(*server))
+        {
+            return nullptr; // no place is needed
+        }
+        permits += limits_.expected_permits(*server, delay, now);
+    }
+    auto& place = places_[service];
+    place = place ? place : std::make_shared<const int>(0);
+    const auto reserved = static_cast<double>(place.use_count() - 1);
+    if (reserved + 1 > permits)
+    {
+        return std::nullopt;
+    }
+    return place;
+}
+
 windowed_retry_budget&
 gateway_state::retry_budget_of(const std::string& service)
 {
--- a/src/roles/gateway_state.hpp
+++ b/src/roles/gateway_state.hpp
@@ -5,6 +5,8 @@
 #include "process/server_holds.hpp"
 #include "request/direct_balancer.hpp"
 #include "request/prompt_quarantine.hpp"
+#include "request/return_schedule.hpp"
+#include "request/server_rate_limiter.hpp"
 #include "request/stage_time_estimator.hpp"
 #include "request/windowed_retry_budget.hpp"
 #include "version/configuration_freshness.hpp"
@@ -13,6 +15,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace mangolink
@@ -20,6 +23,13 @@
 
 struct gateway_settings;
 
+/// A time in which no server of a service takes a request of this process.
+struct service_pause final
+{
+    bool held = false; ///< by all servers; otherwise rate limits take part
+    milliseconds retry_delay{0}; ///< after which a caller may find a place
+};
+
 /// State that a gateway bases its decisions on: the current configuration and
 /// its freshness, the backend servers, and the load balancing data about them.
 /// Not thread-safe.
@@ -63,11 +73,42 @@
     /// Sets the number of processes that share the slack of the retry budgets.
     void set_process_count(std::size_t processes);
 
+    /// Returns whether a server may get a request of this process now, by its
+    /// hold and its rate limit.
+    bool is_usable(const backend_server& server, boot_clock::time_point now)
+    {
+        return time_until_usable(server, now) == milliseconds(0);
+    }
+
+    /// Returns the time until then; nothing if other processes use the limit.
+    std::optional<milliseconds> time_until_usable(const backend_server& server,
+                                                  boot_clock::time_point now);
+
+    /// Returns the pause of a service, or nothing if a server is usable. Each
+    /// call spreads the delay further, so it must be made once for each caller
+    /// that is refused.
+    std::optional<service_pause> pause_of(const std::string& service,
+                                          boot_clock::time_point now);
+
+    /// Reserves the send of a request that must pass stages before, if all
+    /// servers of its service have rate limits. Returns nothing if they would
+    /// not allow it after `delay`. The place is released with its last copy.
+    std::optional<std::shared_ptr<const void>>
+    reserve_place(const std::string& service, milliseconds delay,
+                  boot_clock::time_point now);
+
+    /// Returns a delay for a caller that is refused because of rate limits.
+    milliseconds limit_retry_delay(const std::string& service,
+                                   milliseconds first,
+                                   boot_clock::time_point now);
+
     configuration_freshness& freshness() { return freshness_; }
     const configuration_freshness& freshness() const { return freshness_; }
     backend_directory& directory() { return directory_; }
     const backend_directory& directory() const { return directory_; }
     server_holds& holds() { return holds_; }
+    server_rate_limiter& limits() { return limits_; }
+    const server_rate_limiter& limits() const { return limits_; }
     direct_balancer& balancer() { return balancer_; }
     stage_time_estimator& stage_times() { return stage_times_; }
     prompt_quarantine& quarantine() { return quarantine_; }
@@ -79,6 +120,9 @@
     configuration_freshness freshness_;
     backend_directory directory_;
     server_holds holds_;
+    server_rate_limiter limits_;
+    absl::flat_hash_map<std::string, return_schedule> returns_; ///< by service
+    absl::flat_hash_map<std::string, std::shared_ptr<const int>> places_;
     direct_balancer balancer_;
     stage_time_estimator stage_times_;
     prompt_quarantine quarantine_;
--- a/tests/platform/stage_caller_test.cpp
+++ b/tests/platform/stage_caller_test.cpp
@@ -26,8 +26,10 @@
           calls_(io_, protocol_, connections_, nullptr),
           state_(gateway_settings()),
           router_({"gateway-1", "zone-a", {"zone-a"}}),
-          caller_(io_, protocol_, state_, router_, calls_, metrics_,
-                  [](const std::vector<std::string>&) {})
+          caller_(
+              io_, protocol_, state_, router_, calls_, metrics_,
+              [](const std::vector<std::string>&) {},
+              [](const backend_server&) { return true; })
     {
         gateway_service service;
         service.name = "encode";
