--- a/tests/platform/platform_state_test.cpp
+++ b/tests/platform/platform_state_test.cpp
@@ -211,7 +211,12 @@
             R"({"service": "desk", "address": "127.0.0.1:9", "zone": "z1",
                 "state": "sleeping", "sequence": 1})",
             R"({"service": "desk", "address": "127.0.0.1:9", "zone": "z1",
-                "state": "ready", "sequence": "one"})"};
+                "state": "ready", "sequence": "one"})",
+            R"({"service": "desk", "address": "127.0.0.1:99999", "zone": "z1",
+                "state": "ready", "sequence": 1})",
+            R"({"service": "desk", "address": "127.0.0.1:9", "zone": "z1",
+                "state": "ready", "sequence": 1e300, "slots": -1})",
+            std::string(100'000, '[')};
         for (std::size_t i = 0; i < bad.size(); ++i)
         {
             cluster.store().put("servers/bad-" + std::to_string(i), bad[i]);
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -2,6 +2,7 @@
 #include "connection/task_message.hpp"
 #include "platform/platform_protocol.hpp"
 #include "platform/published_values.hpp"
+#include "process/server_limit_table.hpp"
 #include "support/section.hpp"
 
 #include <fcntl.h>
@@ -21,6 +22,9 @@
     CPPUNIT_TEST(headers_are_read);
     CPPUNIT_TEST(leaving_servers_are_recognized);
     CPPUNIT_TEST(holds_are_read);
+    CPPUNIT_TEST(rate_limits_are_checked);
+    CPPUNIT_TEST(an_odd_entry_names_no_server);
+    CPPUNIT_TEST(odd_numbers_in_a_configuration_are_bounded);
     CPPUNIT_TEST(prompts_with_a_shared_prefix_have_the_same_affinity);
     CPPUNIT_TEST(stage_answers_are_read);
     CPPUNIT_TEST(corrupted_input_is_handled);
@@ -86,6 +90,120 @@
         CPPUNIT_ASSERT(!read(429, "2"));
     }
 
+    void rate_limits_are_checked()
+    {
+        const auto read =
+            [this](std::vector<std::string> values, unsigned status = 200)
+        {
+            http::response_header<> answer;
+            answer.result(status);
+            for (const auto& value : values)
+            {
+                answer.insert("Server-Limit", value);
+            }
+            return protocol_.read_answer(answer).rate_limit;
+        };
+        CPPUNIT_ASSERT(read({"2"}) == 2.0);
+        CPPUNIT_ASSERT(read({"0.05"}) == 0.05);
+        CPPUNIT_ASSERT(read({"0"}, 503) == 0.0);
+        CPPUNIT_ASSERT(read({"7", "2.5"}) == 2.5);
+        CPPUNIT_ASSERT(read({}) == no_rate_limit);
+        section("an answer with another value tells nothing",
+                [&]
+                {
+                    for (const char* bad : {"", "-1", "nan", "inf", "1e999",
+                                            "2,5", "0x10", "few"})
+                    {
+                        CPPUNIT_ASSERT(!read({bad}));
+                        CPPUNIT_ASSERT(!read({"2", bad}));
+                    }
+                });
+        section("nor does another server at the address",
+                [&] { CPPUNIT_ASSERT(!read({"2"}, 421)); });
+    }
+
+    void an_odd_entry_names_no_server()
+    {
+        const auto entry =
+            [](const std::string& address, const std::string& fields)
+        {
+            return R"({"service":"desk","zone":"z1","state":"ready","address":")" +
+                   address + "\"," + fields + "}";
+        };
+        const auto refused = [](const std::string& text)
+        {
+            CPPUNIT_ASSERT_THROW(platform::read_server("id", text),
+                                 std::invalid_argument);
+        };
+        const std::string address = "127.0.0.1:9";
+        const auto sound =
+            platform::read_server("id", entry(address, "\"sequence\":1"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), sound.sequence);
+        section(
+            "numbers out of range",
+            [&]
+            {
+                for (const char* number : {"-1", "1.5", "1e300", "1e999",
+                                           "18446744073709551616", "\"1\""})
+                {
+                    const std::string value = number;
+                    refused(entry(address, "\"sequence\":" + value));
+                    for (const char* field : {"slots", "born"})
+                    {
+                        refused(entry(address, "\"sequence\":1,\"" +
+                                                   std::string(field) +
+                                                   "\":" + value));
+                    }
+                }
+                refused(entry(address, "\"sequence\":1,\"slots\":4294967296"));
+                refused(entry(address, "\"sequence\":18446744073709551615"));
+            });
+        section("ports out of range",
+                [&]
+                {
+                    for (const char* port :
+                         {":0", ":-1", ":65536", ":99999", ":", ""})
+                    {
+                        refused(entry("127.0.0.1" + std::string(port),
+                                      "\"sequence\":1"));
+                    }
+                });
+        section("deep nesting",
+                [&]
+                {
+                    constexpr std::size_t depth = 1'000'000;
+                    const std::string open(depth, '[');
+                    refused(open);
+                    refused(open + std::string(depth, ']'));
+                    const auto nested =
+                        entry(address, "\"sequence\":1,\"x\":" + open +
+                                           std::string(depth, ']'));
+                    CPPUNIT_ASSERT_EQUAL(
+                        std::string("desk"),
+                        platform::read_server("id", nested).service);
+                });
+    }
+
+    void odd_numbers_in_a_configuration_are_bounded()
+    {
+        const auto read = [](const std::string& route)
+        {
+            return platform::read_configuration(
+                R"({"version":1,"routes":[{"hostname":"h","prefix":"/",)"
+                R"("service":"desk",)" +
+                route + "}]}");
+        };
+        const auto odd = read(R"("timeoutMs":1e300,"targetLatencyMs":-1e300,)"
+                              R"("maxAttempts":1e300,"priority":-1)");
+        CPPUNIT_ASSERT(odd.routes[0].time_limit > milliseconds(0));
+        CPPUNIT_ASSERT(odd.routes[0].latency_objective == milliseconds(0));
+        CPPUNIT_ASSERT_EQUAL(1U, odd.routes[0].max_attempts);
+        CPPUNIT_ASSERT_EQUAL(0U, odd.routes[0].priority);
+        CPPUNIT_ASSERT_THROW(
+            read(R"("phases":[{"service":"s","after":[1e300]}])"),
+            std::invalid_argument);
+    }
+
     void prompts_with_a_shared_prefix_have_the_same_affinity()
     {
         const auto read = [this](const char* parts)
