Test late copies of refusals, and errors after a stream broke off

- A server writes an earlier refusal (503, 429) once more on a kept connection: before, while and at about the moment the next request is written, for plain requests that may not be repeated and for streams.
The exchange skips answers with another request's id; the next request runs once and is served.
- A stream breaks off and the next server answers with an error with and without a length, a refusal, a success that is no stream, a head cut short or 204: the caller gets the events and a visible break, and no byte of the error.

--- a/tests/platform/delivery_test.cpp
+++ b/tests/platform/delivery_test.cpp
@@ -2,6 +2,7 @@
 #include "support/test_cluster.hpp"
 
 #include <algorithm>
+#include <thread>
 
 namespace mangolink::test
 {
@@ -17,9 +18,70 @@
     CPPUNIT_TEST(incomplete_answers_are_not_delivered);
     CPPUNIT_TEST(unreachable_servers_are_passed_over);
     CPPUNIT_TEST(a_server_at_the_address_of_another_uses_up_no_attempt);
+    CPPUNIT_TEST(a_late_copy_of_a_refusal_refuses_no_other_request);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void a_late_copy_of_a_refusal_refuses_no_other_request()
+    {
+        test_cluster cluster;
+        auto& desk = cluster.add_backend("desk", "desk-1");
+        cluster.add_route("/orders/", "non_idempotent", "desk");
+        cluster.add_route("/talk/", "streaming", "desk")["streamResume"] = true;
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        unsigned number = 0;
+        const auto send = [&](const std::string& path, milliseconds pause)
+        {
+            const auto refused = "a" + std::to_string(++number);
+            const auto served = "b" + std::to_string(number);
+            test_caller caller(gateway.callers());
+            auto answer = caller.send_request(cluster.request(path, refused));
+            CPPUNIT_ASSERT(answer);
+            CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), desk.run_count(refused));
+            std::this_thread::sleep_for(pause);
+            answer = caller.send_request(cluster.request(path, served));
+            CPPUNIT_ASSERT(answer);
+            CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+            CPPUNIT_ASSERT((*answer)["X-Attempt-Id"] == served);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), desk.run_count(served));
+        };
+        for (const auto kind :
+             {backend_fault::shed_copy, backend_fault::too_many_copy})
+        {
+            for (const char* path : {"/orders/x", "/talk/x"})
+            {
+                const bool streams = std::string(path) == "/talk/x";
+                const auto prepare = [&]
+                {
+                    desk.set_stream(streams ? 3 : 0, milliseconds(150));
+                    desk.add_faults({kind});
+                };
+                section("it comes before the next request",
+                        [&]
+                        {
+                            prepare();
+                            send(path, milliseconds(600));
+                        });
+                section("while that runs",
+                        [&]
+                        {
+                            prepare();
+                            desk.set_delay(milliseconds(800));
+                            send(path, milliseconds(0));
+                            desk.set_delay({});
+                        });
+                section("at about the same moment",
+                        [&]
+                        {
+                            prepare();
+                            send(path, milliseconds(395));
+                        });
+            }
+        }
+    }
+
     void non_idempotent_requests_run_once()
     {
         test_cluster cluster;
--- a/tests/platform/stream_test.cpp
+++ b/tests/platform/stream_test.cpp
@@ -1,6 +1,8 @@
 #include "support/section.hpp"
 #include "support/test_cluster.hpp"
 
+#include <thread>
+
 namespace mangolink::test
 {
 namespace
@@ -24,6 +26,7 @@
     CPPUNIT_TEST_SUITE(stream_test);
     CPPUNIT_TEST(events_are_passed_on);
     CPPUNIT_TEST(a_resumable_stream_goes_on_elsewhere);
+    CPPUNIT_TEST(an_error_of_the_next_server_is_no_part_of_a_stream);
     CPPUNIT_TEST(other_streams_end_visibly_incomplete);
     CPPUNIT_TEST(requests_of_closed_callers_are_cancelled);
     CPPUNIT_TEST(the_time_limit_of_the_route_ends_a_stream);
@@ -109,6 +112,58 @@
         }
     }
 
+    void an_error_of_the_next_server_is_no_part_of_a_stream()
+    {
+        test_cluster cluster;
+        auto& one = cluster.add_backend("engine", "engine-1");
+        auto& two = cluster.add_backend("engine", "engine-2");
+        cluster.add_route("/talk/", "streaming", "engine")["streamResume"] =
+            true;
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        const std::pair<const char*, backend_fault> kinds[] = {
+            {"error with a length", backend_fault::failure},
+            {"error without one", backend_fault::failure_unframed},
+            {"refusal", backend_fault::shed},
+            {"success that is no stream", backend_fault::extra_answer},
+            {"the same without length", backend_fault::unframed},
+            {"head cut short", backend_fault::cut_head},
+            {"success without content", backend_fault::no_content}};
+        for (const auto& [name, kind] : kinds)
+        {
+            const std::string id = "r" + std::to_string(static_cast<int>(kind));
+            section(name,
+                    [&, kind = kind]
+                    {
+                        for (auto* engine : {&one, &two})
+                        {
+                            engine->clear_faults();
+                            engine->set_stream(5, milliseconds(80));
+                            engine->break_next_stream_after(2);
+                        }
+                        std::thread during_stream(
+                            [&]
+                            {
+                                bench::wait_until(
+                                    [&] {
+                                        return one.run_count(id) +
+                                                   two.run_count(id) >
+                                               0;
+                                    });
+                                one.add_faults({kind});
+                                two.add_faults({kind});
+                            });
+                        test_caller caller(gateway.callers());
+                        const auto answer =
+                            caller.send_request(cluster.request("/talk/x", id));
+                        during_stream.join();
+                        CPPUNIT_ASSERT(!answer);
+                        CPPUNIT_ASSERT_EQUAL(events(1, 2),
+                                             caller.partial_body());
+                    });
+        }
+    }
+
     void other_streams_end_visibly_incomplete()
     {
         test_cluster cluster;
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -15,6 +15,21 @@
 /// Time from the head of an answer to the crash that its request causes.
 constexpr milliseconds crash_delay{30};
 
+bool proves_not_run(backend_fault fault)
+{
+    return fault >= backend_fault::shed &&
+           fault <= backend_fault::inputs_gone_copy;
+}
+
+/// Returns the head and body of a refusal, and a late copy of them.
+scripted_answer refusal_with_copy(int status, const std::string& id)
+{
+    auto result = scripted_answer::of(
+        status, "", {"X-Not-Executed: 1", "X-Attempt-Id: " + id});
+    result.parts.push_back({result.parts.front().bytes, milliseconds(400)});
+    return result;
+}
+
 bool has_part(const std::string& prompt, const std::string& part)
 {
     return !part.empty() &&
@@ -175,9 +190,7 @@
     }
     const auto fault = next_fault();
     const bool expected = request["X-Expect-Instance"] == id_;
-    record.ran = expected && fault != backend_fault::shed &&
-                 fault != backend_fault::inputs_gone &&
-                 fault != backend_fault::inputs_gone_copy;
+    record.ran = expected && !proves_not_run(fault);
     received_.push_back(record);
     if (!expected)
     {
@@ -279,20 +292,27 @@
                       { return header.starts_with("X-Response-Seal"); });
         headers.emplace_back("X-Not-Executed: 1");
         return scripted_answer::of(503, "", headers);
-    case backend_fault::inputs_gone:
+    case backend_fault::shed_copy:
+        return refusal_with_copy(503, id);
+    case backend_fault::too_many_copy:
+        return refusal_with_copy(429, id);
     case backend_fault::inputs_gone_copy:
-    {
-        auto result = scripted_answer::of(
+        return refusal_with_copy(409, id);
+    case backend_fault::inputs_gone:
+        return scripted_answer::of(
             409, "", {"X-Not-Executed: 1", "X-Attempt-Id: " + id});
-        if (fault == backend_fault::inputs_gone_copy)
-        {
-            result.parts.push_back(
-                {result.parts.front().bytes, milliseconds(400)});
-        }
-        return result;
-    }
     case backend_fault::failure:
         return scripted_answer::of(500, "failed", headers);
+    case backend_fault::failure_unframed:
+        bytes = "HTTP/1.1 500 Failed" + unframed.substr(unframed.find('\r'));
+        complete.end = answer_end::closed;
+        break;
+    case backend_fault::no_content:
+        return scripted_answer::of(204, "", headers);
+    case backend_fault::cut_head:
+        bytes.resize(bytes.find("\r\n") + 6);
+        complete.end = answer_end::closed;
+        break;
     case backend_fault::unproven_refusal:
         return scripted_answer::of(503, "busy", {"X-Attempt-Id: " + id});
     case backend_fault::answer_lost:
--- a/tests/standins/backend_standin.hpp
+++ b/tests/standins/backend_standin.hpp
@@ -29,9 +29,14 @@
 {
     none,
     shed,             ///< 503 with proof that it did not run
+    shed_copy,        ///< the same, and a copy of it 400 ms later
+    too_many_copy,    ///< 429 with proof, and a copy of it 400 ms later
     inputs_gone,      ///< 409 with proof that it did not run
     inputs_gone_copy, ///< the same, and a copy of it 400 ms later
     failure,          ///< signed 500
+    failure_unframed, ///< signed 500 without length, ended by closing
+    no_content,       ///< signed 204
+    cut_head,         ///< runs, then closes inside the head
     unproven_refusal, ///< runs, then 503 without proof
     answer_lost,      ///< runs, then resets without an answer
     truncated,        ///< runs, then closes inside the body
