Soak: let servers name rate limits, and check that they are kept

Two faults in 20 let a server name 0.5, 2, 2.5 or 10 requests a second for 5 to 10 s, beside all the others. From 4 s after that until it crashes or stops naming one, it may get no more in any 4 s than the platform allows, counted over gateways in touch. Its link is not degraded meanwhile, since what a link holds up arrives at one moment.

--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -24,6 +24,12 @@
 constexpr milliseconds contact_time{4000};
 constexpr std::size_t max_late_sends = 3;
 
+/// In this time a server that names a rate limit gets at most one and a half
+/// times as many requests as it allows, and some more.
+constexpr milliseconds limit_window{4000};
+constexpr double limit_factor = 1.5;
+constexpr double limit_slack = 5;
+
 /// Executions of one request at the backend servers.
 struct request_runs final
 {
@@ -47,6 +53,33 @@
     return result;
 }
 
+std::map<std::string, std::size_t>
+gateways_by_request(const std::vector<soak_record>& all)
+{
+    std::map<std::string, std::size_t> result;
+    for (const auto& record : all)
+    {
+        result[record.id] = record.gateway;
+    }
+    return result;
+}
+
+/// Returns the largest number of times in any window; they must be in order.
+std::size_t most_in_window(const std::vector<boot_clock::time_point>& times)
+{
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < times.size(); ++last)
+    {
+        while (times[first] + limit_window <= times[last])
+        {
+            ++first;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
 std::string all_events()
 {
     std::string text;
@@ -256,11 +289,7 @@
                                          const soak_faults& faults,
                                          const std::vector<soak_record>& all)
 {
-    std::map<std::string, std::size_t> gateway_of;
-    for (const auto& record : all)
-    {
-        gateway_of[record.id] = record.gateway;
-    }
+    auto gateway_of = gateways_by_request(all);
     std::vector<boot_clock::time_point> crashes;
     for (const auto* server : cluster.servers())
     {
@@ -295,6 +324,46 @@
             late.back()};
 }
 
+std::vector<std::string>
+find_exceeded_limits(const soak_cluster& cluster, const soak_faults& faults,
+                     const std::vector<soak_record>& all)
+{
+    auto gateway_of = gateways_by_request(all);
+    std::vector<std::string> violations;
+    for (const auto& period : faults.limits())
+    {
+        const auto* server = cluster.servers()[period.server];
+        auto end = period.end;
+        for (const auto crash : server->crash_times())
+        {
+            // Another start has not named the limit before.
+            end = crash >= period.begin ? std::min(end, crash) : end;
+        }
+        std::vector<boot_clock::time_point> times;
+        for (const auto& request : server->received())
+        {
+            if (request.at >= period.begin + contact_time && request.at < end &&
+                faults.in_touch(gateway_of[request.id], request.at))
+            {
+                times.push_back(request.at);
+            }
+        }
+        const double allowed =
+            limit_factor * period.per_second *
+                std::chrono::duration<double>(limit_window).count() +
+            limit_slack;
+        const auto most = most_in_window(times);
+        if (static_cast<double>(most) > allowed)
+        {
+            violations.push_back(server->id() + ": got " +
+                                 std::to_string(most) +
+                                 " requests in a window where " +
+                                 std::to_string(allowed) + " were allowed");
+        }
+    }
+    return violations;
+}
+
 std::vector<std::string>
 find_unrecovered_gateways(soak_cluster& cluster, std::vector<soak_record>& all)
 {
--- a/tests/soak/soak_checks.hpp
+++ b/tests/soak/soak_checks.hpp
@@ -31,6 +31,12 @@
                                          const soak_faults& faults,
                                          const std::vector<soak_record>& all);
 
+/// Returns a line for each server that got more requests from gateways in touch
+/// than the rate limit allows that it named.
+std::vector<std::string>
+find_exceeded_limits(const soak_cluster& cluster, const soak_faults& faults,
+                     const std::vector<soak_record>& all);
+
 /// Waits until every gateway serves again. Returns a line for each that does
 /// not, and appends the records of the requests that it sends to `all`.
 std::vector<std::string>
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -44,6 +44,8 @@
         {"break a stream", &soak_faults::break_stream},
         {"silence a server", &soak_faults::silence_server},
         {"crash engines", &soak_faults::crash_engines},
+        {"limit a server", &soak_faults::limit_server},
+        {"limit a server", &soak_faults::limit_server},
         {"deregister a server", &soak_faults::deregister_server},
         {"fail a stage server", &soak_faults::fail_stage_server},
         {"rotate the key", &soak_faults::rotate_key}};
@@ -222,7 +224,7 @@
         {{"bytes_per_second", 2000}},
         {{"duplicate_connect", true}}};
     const auto& link = cluster_.links()[random_below(cluster_.links().size())];
-    if (rules_.contains(link))
+    if (rules_.contains(link) || is_limited(link))
     {
         return;
     }
@@ -320,6 +322,38 @@
     }
 }
 
+void soak_faults::limit_server()
+{
+    static constexpr double rates[] = {0.5, 2, 2.5, 10};
+    const auto index = random_below(cluster_.servers().size());
+    auto* server = cluster_.servers()[index];
+    // What a degraded link held up would arrive at one moment.
+    if (is_limited(server->id()) || rules_.contains(server->id()))
+    {
+        return;
+    }
+    const double rate = rates[random_below(std::size(rates))];
+    server->set_notice("Server-Limit: " + std::to_string(rate));
+    limits_.push_back({index, rate, boot_clock::now()});
+    end_after(milliseconds(5000), milliseconds(10'000),
+              [this, server, period = limits_.size() - 1]
+              {
+                  server->set_notice({});
+                  limits_[period].end = boot_clock::now();
+              });
+}
+
+bool soak_faults::is_limited(const std::string& server) const
+{
+    return std::any_of(limits_.begin(), limits_.end(),
+                       [&](const limit_period& period)
+                       {
+                           return period.end == boot_clock::time_point::max() &&
+                                  cluster_.servers()[period.server]->id() ==
+                                      server;
+                       });
+}
+
 void soak_faults::recover_servers()
 {
     for (auto* server : cluster_.servers())
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -16,11 +16,21 @@
 
 class soak_cluster;
 
+/// Time in which a server named a rate limit.
+struct limit_period final
+{
+    std::size_t server = 0; ///< index in soak_cluster::servers()
+    double per_second = 0;
+    boot_clock::time_point begin;
+    boot_clock::time_point end = boot_clock::time_point::max();
+};
+
 /// Injects random, possibly overlapping faults into a cluster. Gateways are
 /// stopped, paused, killed, restarted or told to reload their settings.
 /// Connections are delayed, throttled, reset, cut or blocked in one direction.
 /// The store is unavailable, loses answers or compacts its history. Servers
-/// fail, crash, leave and return. Keys are revoked. Used by one thread.
+/// fail, crash, leave, return and name rate limits. Keys are revoked. Used by
+/// one thread.
 class soak_faults final
 {
 public:
@@ -36,6 +46,9 @@
     /// before.
     bool in_touch(std::size_t gateway, boot_clock::time_point at) const;
 
+    /// Returns the times in which servers named rate limits.
+    const std::vector<limit_period>& limits() const { return limits_; }
+
     /// Returns how often each fault was started.
     const std::map<std::string, unsigned>& counts() const { return counts_; }
 
@@ -69,6 +82,8 @@
     void break_stream();
     void silence_server();
     void crash_engines();
+    void limit_server();
+    bool is_limited(const std::string& server) const;
     void recover_servers();
     void begin_outage(std::size_t gateway);
     void end_outage(std::size_t gateway);
@@ -94,6 +109,7 @@
     std::vector<bool> paused_; ///< by gateway
     std::vector<std::vector<outage>> outages_;    ///< by gateway
     std::map<std::string, nlohmann::json> rules_; ///< by link
+    std::vector<limit_period> limits_;
     std::map<std::string, unsigned> counts_;
 };
 
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -101,6 +101,8 @@
     const auto wrong_refusals = find_wrong_refusals(records);
     violations.insert(violations.end(), wrong_refusals.begin(),
                       wrong_refusals.end());
+    const auto exceeded = find_exceeded_limits(cluster, faults, records);
+    violations.insert(violations.end(), exceeded.begin(), exceeded.end());
     if (options.late_sends_known)
     {
         std::cout << "known red, not checked: " << late_sends_check << "\n";
