--- a/src/request/direct_balancer.cpp
+++ b/src/request/direct_balancer.cpp
@@ -103,11 +103,10 @@
                                const server_preferences& preferences,
                                boot_clock::time_point now) const
 {
-    const auto excluded = [&preferences](const server_pointer& server)
-    {
-        const auto& ids = preferences.excluded;
-        return std::find(ids.begin(), ids.end(), server->id) != ids.end();
-    };
+    const absl::flat_hash_set<absl::string_view> excluded_ids(
+        preferences.excluded.begin(), preferences.excluded.end());
+    const auto excluded = [&excluded_ids](const server_pointer& server)
+    { return excluded_ids.contains(server->id); };
     std::vector<server_pointer> candidates;
     std::copy_if(servers.begin(), servers.end(), std::back_inserter(candidates),
                  [&](const server_pointer& server)
@@ -127,6 +126,7 @@
                                 const server_preferences& preferences) const
 {
     pool_view view;
+    view.limited.insert(preferences.limited.begin(), preferences.limited.end());
     double total_ms = 0;
     double sample_count = 0;
     const auto rank = [&preferences](const backend_server& server)
@@ -252,11 +252,7 @@
         result -= affinity(server, preferences, pool) * token_gain_ms *
                   preferences.shared_tokens;
     }
-    const auto& limited = preferences.limited;
-    if (std::find(limited.begin(), limited.end(), server.id) != limited.end())
-    {
-        result -= limited_gain_ms;
-    }
+    result -= pool.limited.contains(server.id) ? limited_gain_ms : 0;
     for (const auto& [zone, bytes] : preferences.bytes_in_zone)
     {
         result += zone == server.zone ? 0 : transfer_cost_ms(bytes);
--- a/src/request/direct_balancer.hpp
+++ b/src/request/direct_balancer.hpp
@@ -5,6 +5,8 @@
 #include "process/placement.hpp"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <absl/strings/string_view.h>
 
 #include <cstdint>
 #include <memory>
@@ -97,6 +99,7 @@
     {
         double typical_ms = 0; ///< mean time to the first byte
         double mean_in_flight = 0;
+        absl::flat_hash_set<absl::string_view> limited; ///< servers, by id
         /// Servers preferred for the shared prefix, of the pool and of each
         /// zone. Rendezvous hashing makes all processes choose the same ones.
         const backend_server* affinity_server = nullptr;
--- a/tests/platform/server_limit_test.cpp
+++ b/tests/platform/server_limit_test.cpp
@@ -1,3 +1,4 @@
+#include "support/busiest_window.hpp"
 #include "support/section.hpp"
 #include "support/test_cluster.hpp"
 
@@ -37,17 +38,7 @@
             times.push_back(request.at);
         }
     }
-    std::size_t most = 0;
-    std::size_t first = 0;
-    for (std::size_t last = 0; last < times.size(); ++last)
-    {
-        while (times[first] + window <= times[last])
-        {
-            ++first;
-        }
-        most = std::max(most, last - first + 1);
-    }
-    return most;
+    return busiest_window(times, window);
 }
 
 /// Callers that send requests in the background, one thread for each gateway.
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -2,6 +2,7 @@
 
 #include "soak/soak_cluster.hpp"
 #include "soak/soak_faults.hpp"
+#include "support/busiest_window.hpp"
 
 #include <absl/strings/str_split.h>
 
@@ -64,22 +65,6 @@
     return result;
 }
 
-/// Returns the largest number of times in any window; they must be in order.
-std::size_t most_in_window(const std::vector<boot_clock::time_point>& times)
-{
-    std::size_t most = 0;
-    std::size_t first = 0;
-    for (std::size_t last = 0; last < times.size(); ++last)
-    {
-        while (times[first] + limit_window <= times[last])
-        {
-            ++first;
-        }
-        most = std::max(most, last - first + 1);
-    }
-    return most;
-}
-
 std::string all_events()
 {
     std::string text;
@@ -352,7 +337,7 @@
             limit_factor * period.per_second *
                 std::chrono::duration<double>(limit_window).count() +
             limit_slack;
-        const auto most = most_in_window(times);
+        const auto most = busiest_window(times, limit_window);
         if (static_cast<double>(most) > allowed)
         {
             violations.push_back(server->id() + ": got " +
--- a/tests/unit/direct_balancer_test.cpp
+++ b/tests/unit/direct_balancer_test.cpp
@@ -31,9 +31,22 @@
     CPPUNIT_TEST(failures_of_one_moment_do_not_extend_an_ejection);
     CPPUNIT_TEST(a_pool_keeps_candidates_when_all_are_ejected);
     CPPUNIT_TEST(requests_prefer_the_zone_of_their_results);
+    CPPUNIT_TEST(a_usable_server_with_a_rate_limit_is_preferred);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void a_usable_server_with_a_rate_limit_is_preferred()
+    {
+        server_preferences preferences;
+        preferences.limited = {"a2"};
+        for (int i = 0; i < 10; ++i)
+        {
+            CPPUNIT_ASSERT_EQUAL(std::string("a2"), send(preferences));
+        }
+        preferences.excluded = {"a2"};
+        CPPUNIT_ASSERT(send(preferences) != "a2");
+    }
+
     void equal_servers_take_turns()
     {
         std::map<std::string, int> sends;
