--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -92,8 +92,8 @@
 
     void rate_limits_are_checked()
     {
-        const auto read =
-            [this](std::vector<std::string> values, unsigned status = 200)
+        const auto read = [this](const std::vector<std::string>& values,
+                                 unsigned status = 200)
         {
             http::response_header<> answer;
             answer.result(status);
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -21,12 +21,26 @@
            fault <= backend_fault::inputs_gone_copy;
 }
 
-/// Returns the head and body of a refusal, and a late copy of them.
-scripted_answer refusal_with_copy(int status, const std::string& id)
+/// Returns a refusal with proof, and a late copy of it for some faults.
+scripted_answer refusal_of(backend_fault fault, const std::string& id,
+                           std::vector<std::string> headers)
 {
+    if (fault == backend_fault::shed)
+    {
+        std::erase_if(headers, [](const std::string& header)
+                      { return header.starts_with("X-Response-Seal"); });
+        headers.emplace_back("X-Not-Executed: 1");
+        return scripted_answer::of(503, "", headers);
+    }
+    const int status = fault == backend_fault::shed_copy       ? 503
+                       : fault == backend_fault::too_many_copy ? 429
+                                                               : 409;
     auto result = scripted_answer::of(
         status, "", {"X-Not-Executed: 1", "X-Attempt-Id: " + id});
-    result.parts.push_back({result.parts.front().bytes, milliseconds(400)});
+    if (fault != backend_fault::inputs_gone)
+    {
+        result.parts.push_back({result.parts.front().bytes, milliseconds(400)});
+    }
     return result;
 }
 
@@ -274,7 +288,11 @@
 {
     const std::string id(request["X-Attempt-Id"]);
     const auto body = answer_body(id_, id);
-    auto headers = answer_headers(id);
+    const auto headers = answer_headers(id);
+    if (proves_not_run(fault))
+    {
+        return refusal_of(fault, id, headers);
+    }
     auto complete = scripted_answer::of(200, body, headers);
     std::string& bytes = complete.parts.front().bytes;
     std::string unframed = "HTTP/1.1 200 OK\r\n";
@@ -287,20 +305,6 @@
     {
     case backend_fault::none:
         break;
-    case backend_fault::shed:
-        std::erase_if(headers, [](const std::string& header)
-                      { return header.starts_with("X-Response-Seal"); });
-        headers.emplace_back("X-Not-Executed: 1");
-        return scripted_answer::of(503, "", headers);
-    case backend_fault::shed_copy:
-        return refusal_with_copy(503, id);
-    case backend_fault::too_many_copy:
-        return refusal_with_copy(429, id);
-    case backend_fault::inputs_gone_copy:
-        return refusal_with_copy(409, id);
-    case backend_fault::inputs_gone:
-        return scripted_answer::of(
-            409, "", {"X-Not-Executed: 1", "X-Attempt-Id: " + id});
     case backend_fault::failure:
         return scripted_answer::of(500, "failed", headers);
     case backend_fault::failure_unframed:
