Announce no permit that can't be taken

After a process had lost its share of a server's limit, the first look at the server still saw the tokens of the old share, and the permit was refused a moment later. The request, for which other servers stood ready, was refused or its stream cut, once for each change of senders and limited server.

Cause: the bucket was cut down to the size of the old share before the new one was set. Now it is cut down to the new one as well.

Evidence: the SIGSEGV of the simulated fleets under the thread sanitizer came from a permit that was announced and then not there; the release build read the same empty optional without a sign. With an assertion in its place all four fleet tests fail before, and so does a_permit_that_is_announced_can_be_taken; all 11 pass with the fix, under the thread sanitizer too.

--- a/src/request/server_rate_limiter.cpp
+++ b/src/request/server_rate_limiter.cpp
@@ -154,6 +154,7 @@
         entry.per_second = per_second;
         entry.role = role;
         entry.shares_version = shares_.version();
+        entry.bucket.fill(0, entry.share.burst, now); // may be smaller now
     }
     return &entry;
 }
--- a/tests/unit/server_rate_limiter_test.cpp
+++ b/tests/unit/server_rate_limiter_test.cpp
@@ -205,6 +205,7 @@
         const auto server = usable[random_() % usable.size()];
         auto permit =
             each.limiter->acquire(servers_[server], sender_role::chosen, now_);
+        CPPUNIT_ASSERT(permit);
         permit->use();
         sends_[server].push_back(now_);
         answers_.push_back(
@@ -358,6 +359,7 @@
     CPPUNIT_TEST(a_limit_belongs_to_one_start_of_a_server);
     CPPUNIT_TEST(a_server_that_takes_nothing_is_asked_rarely);
     CPPUNIT_TEST(only_sent_requests_use_permits_up);
+    CPPUNIT_TEST(a_permit_that_is_announced_can_be_taken);
     CPPUNIT_TEST(the_state_is_bounded);
     CPPUNIT_TEST(refused_callers_come_back_one_after_the_other);
     CPPUNIT_TEST_SUITE_END();
@@ -534,6 +536,32 @@
                 });
     }
 
+    void a_permit_that_is_announced_can_be_taken()
+    {
+        // Of 16 servers the other process gets some when it joins.
+        server_rate_limiter limiter("g");
+        std::vector<backend_server> servers;
+        for (std::uint64_t start = 1; start <= 16; ++start)
+        {
+            servers.push_back(make_server(start));
+            limiter.record_answer(servers.back(), 2, now_, now_);
+            limiter.may_send(servers.back(), sender_role::chosen, now_);
+        }
+        advance(limiter, seconds(3));
+        limiter.update({{"g"}, {"other"}}, now_);
+        std::size_t lost = 0;
+        for (const auto& server : servers)
+        {
+            const bool announced =
+                limiter.may_send(server, sender_role::chosen, now_);
+            const auto permit =
+                limiter.acquire(server, sender_role::chosen, now_);
+            CPPUNIT_ASSERT_EQUAL(announced, permit.has_value());
+            lost += announced ? 0 : 1;
+        }
+        CPPUNIT_ASSERT(lost > 0 && lost < servers.size());
+    }
+
     void the_state_is_bounded()
     {
         server_limit_table table;
