Name rate limit code for what it does; apply demand once a second

- A server's start was hashed in four places; backend_server::start_hash() is the one that all use.
- return_schedule, place and reserve_place() were words of this project; retry_schedule, reservation and reserve_send() are the field's.
- Every change of a peer's demand computed all shares anew: with 100 gateways several times a second, for each limited server.
It takes effect at most once a second now; changes of who is alive do so at once, as before, since those are what the bound depends on.
- /limits searched all servers for each limit; it makes one pass.

--- a/src/connection/accepted_request.hpp
+++ b/src/connection/accepted_request.hpp
@@ -24,8 +24,8 @@
     boot_clock::time_point deadline;
     milliseconds uncorrected_stages_time{0}; ///< from load reports
     milliseconds expected_stages_time{0};    ///< corrected by measured times
-    /// Reserved under rate limits until the request is sent; may be null.
-    std::shared_ptr<const void> place;
+    /// Send reserved under rate limits until the request is sent; may be null.
+    std::shared_ptr<const void> reservation;
 };
 
 /// Error response to a request that was not executed.
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -357,7 +357,7 @@
     if (!attempt.has_answer())
     {
         sender_->count(attempt);
-        accepted_.place.reset();
+        accepted_.reservation.reset();
         co_await attempt.start(limits(), stream_->begun());
     }
     if (attempt.streams())
--- a/src/connection/prompt_guard.cpp
+++ b/src/connection/prompt_guard.cpp
@@ -1,6 +1,5 @@
 #include "connection/prompt_guard.hpp"
 
-#include "base/hash.hpp"
 #include "base/log.hpp"
 #include "base/metrics.hpp"
 #include "process/backend_server.hpp"
@@ -64,8 +63,7 @@
                                 const backend_server& server)
 {
     crashes_.add();
-    quarantine_.record_crash(prompt, stable_hash(server.id, server.started_ms),
-                             boot_clock::now());
+    quarantine_.record_crash(prompt, server.start_hash(), boot_clock::now());
     report_changes(true);
 }
 
--- a/src/connection/request_check.cpp
+++ b/src/connection/request_check.cpp
@@ -162,12 +162,12 @@
     {
         return refused;
     }
-    return reserve_place();
+    return reserve_send();
 }
 
 std::optional<refusal> request_check::check_pause() const
 {
-    // A request with stages needs a server later: reserve_place().
+    // A request with stages needs a server later: reserve_send().
     const bool has_stages = !result_.route->stages.empty();
     const auto now = boot_clock::now();
     const auto& servers = context_.state.directory().servers(result_.service);
@@ -186,21 +186,21 @@
                : context_.server_limits.refuse(pause->retry_delay);
 }
 
-std::optional<refusal> request_check::reserve_place()
+std::optional<refusal> request_check::reserve_send()
 {
     if (result_.route->stages.empty())
     {
         return std::nullopt;
     }
     const auto now = boot_clock::now();
-    auto place = context_.state.reserve_place(
+    auto reservation = context_.state.reserve_send(
         result_.service, result_.expected_stages_time, now);
-    if (!place)
+    if (!reservation)
     {
         return context_.server_limits.refuse(context_.state.limit_retry_delay(
             result_.service, milliseconds(0), now));
     }
-    result_.place = std::move(*place);
+    result_.reservation = std::move(*reservation);
     return std::nullopt;
 }
 
--- a/src/connection/request_check.hpp
+++ b/src/connection/request_check.hpp
@@ -40,7 +40,7 @@
     std::optional<refusal> check_prompt() const;
     std::optional<refusal> check_capacity();
     std::optional<refusal> check_pause() const;
-    std::optional<refusal> reserve_place();
+    std::optional<refusal> reserve_send();
     std::optional<refusal> check_stage_time();
     void choose_service();
     milliseconds time_left() const;
--- a/src/connection/server_limit_guard.cpp
+++ b/src/connection/server_limit_guard.cpp
@@ -1,6 +1,5 @@
 #include "connection/server_limit_guard.hpp"
 
-#include "base/hash.hpp"
 #include "base/log.hpp"
 #include "base/metrics.hpp"
 #include "connection/backend_exchange.hpp"
@@ -69,9 +68,7 @@
     const auto now = boot_clock::now();
     const auto change =
         limiter_.record_answer(head.server, *limit, head.request_sent, now);
-    report(change,
-           {stable_hash(head.server.id, head.server.started_ms), *limit, now},
-           "answer");
+    report(change, {head.server.start_hash(), *limit, now}, "answer");
     if (change != server_limit_change::none)
     {
         on_named_();
@@ -129,15 +126,21 @@
 std::string server_limit_guard::status_text() const
 {
     const auto now = boot_clock::now();
+    absl::flat_hash_map<std::uint64_t, std::string> names;
+    for (const auto& server : directory_.all())
+    {
+        names[server->start_hash()] = server->id;
+    }
     auto servers = nlohmann::json::array();
     for (const auto& news : limiter_.limits().limits())
     {
-        const auto* server = find_server(news.server_start);
+        const auto name = names.find(news.server_start);
         const auto age =
             std::chrono::duration_cast<milliseconds>(now - news.at);
-        servers.push_back({{"server", server == nullptr ? "gone" : server->id},
-                           {"per_second", news.per_second},
-                           {"told_ms_ago", age.count()}});
+        servers.push_back(
+            {{"server", name == names.end() ? "gone" : name->second},
+             {"per_second", news.per_second},
+             {"told_ms_ago", age.count()}});
     }
     const nlohmann::json status{
         {"processes", limiter_.shares().processes()},
@@ -177,7 +180,7 @@
 {
     for (const auto& server : directory_.all())
     {
-        if (stable_hash(server->id, server->started_ms) == server_start)
+        if (server->start_hash() == server_start)
         {
             return server.get();
         }
--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -256,10 +256,10 @@
         pool->call_time + pool->item_time * pool->batch_size;
     const std::chrono::duration<double> interval(
         1 / state_.limits().share_of(server, role, now).per_second);
-    const auto queued_calls =
-        static_cast<double>(report.item_count / std::max(1U, pool->batch_size));
-    const auto queue_delay =
-        std::max(interval - call_time, interval * 0) * queued_calls;
+    const std::size_t queued_calls =
+        report.item_count / std::max(1U, pool->batch_size);
+    const auto queue_delay = std::max(interval - call_time, interval * 0) *
+                             static_cast<double>(queued_calls);
     return std::max(wait.value_or(report.busy) - report.busy, milliseconds(0)) +
            std::chrono::ceil<milliseconds>(queue_delay);
 }
--- a/src/process/backend_server.hpp
+++ b/src/process/backend_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/hash.hpp"
 #include "base/socket_address.hpp"
 
 #include <cstdint>
@@ -20,6 +21,9 @@
     std::uint64_t sequence = 0;   ///< increases with each report of one start
     bool leaving = false;
 
+    /// Returns the hash of the id and the start, the same on every machine.
+    std::uint64_t start_hash() const { return stable_hash(id, started_ms); }
+
     /// Returns whether this report is older than another one of the same id.
     bool older_than(const backend_server& other) const
     {
--- a/src/process/limit_shares.cpp
+++ b/src/process/limit_shares.cpp
@@ -18,6 +18,10 @@
 /// Smallest bucket. With fewer tokens, pauses between requests go unused.
 constexpr double min_bucket = 2;
 
+/// Every share is computed again after a change of the demand, which costs more
+/// the more processes and limited servers there are.
+constexpr milliseconds demand_interval{1000};
+
 /// A process that is not heard for a shorter time goes on being a sender, as
 /// heartbeats may be lost.
 constexpr milliseconds silence_grace{3000};
@@ -52,7 +56,7 @@
     if (found != processes_.end() && found->second.demand != levels)
     {
         found->second.demand = levels;
-        changed_ = true;
+        demand_changed_ = true;
     }
 }
 
@@ -86,11 +90,14 @@
     }
     const double fraction = usable_fraction(senders.size(), now);
     std::sort(senders.begin(), senders.end());
-    if (changed_ || senders != senders_ || fraction != fraction_)
+    const bool demand_due =
+        demand_changed_ && now - demand_applied_ >= demand_interval;
+    if (demand_due || senders != senders_ || fraction != fraction_)
     {
         senders_ = std::move(senders);
         fraction_ = fraction;
-        changed_ = false;
+        demand_changed_ = false;
+        demand_applied_ = now;
         ++version_;
     }
 }
--- a/src/process/limit_shares.hpp
+++ b/src/process/limit_shares.hpp
@@ -44,8 +44,8 @@
     /// Sets the demand of a process, if it is known.
     void set_demand(const std::string& process, const demand_levels& levels);
 
-    /// Sets which processes are alive, this one among them, and makes all
-    /// changes take effect.
+    /// Sets which processes are alive, this one among them, and makes changes
+    /// take effect; those of the demand at most once a second.
     void update(const std::vector<limit_process>& alive,
                 boot_clock::time_point now);
 
@@ -78,7 +78,8 @@
     double usable_fraction(std::size_t alive, boot_clock::time_point now) const;
 
     std::string self_;
-    bool changed_ = true;
+    bool demand_changed_ = false;
+    boot_clock::time_point demand_applied_;
     /// Those alive or silent; not those that stopped with a notice.
     absl::flat_hash_map<std::string, process_entry> processes_;
     std::vector<std::string> senders_; ///< alive and not stopping
--- a/src/process/server_limit_table.cpp
+++ b/src/process/server_limit_table.cpp
@@ -9,8 +9,10 @@
 
 constexpr std::size_t max_entries = 4096;
 
-/// Number of servers in a message, of each kind.
-constexpr std::size_t max_reported = 32;
+/// Number of servers in a message: with recent news, and others in turn, by
+/// which a process that has started learns the limits.
+constexpr std::size_t max_recent = 32;
+constexpr std::size_t max_others = 32;
 
 /// News are repeated for this time, as messages may be lost.
 constexpr milliseconds repeat_time{1000};
@@ -86,7 +88,7 @@
     }
     std::sort(recent.begin(), recent.end(),
               [](const auto& a, const auto& b) { return a.at > b.at; });
-    recent.resize(std::min(recent.size(), max_reported));
+    recent.resize(std::min(recent.size(), max_recent));
     if (!all)
     {
         return recent;
@@ -97,7 +99,7 @@
     std::sort(others.begin(), others.end(),
               [&rank](const auto& a, const auto& b)
               { return rank(a) < rank(b); });
-    others.resize(std::min(others.size(), max_reported));
+    others.resize(std::min(others.size(), max_others));
     if (!others.empty())
     {
         last_reported_ = others.back().server_start;
--- a/src/request/return_schedule.cpp
+++ b/src/request/retry_schedule.cpp
@@ -1,4 +1,4 @@
-#include "request/return_schedule.hpp"
+#include "request/retry_schedule.hpp"
 
 #include <algorithm>
 
@@ -13,8 +13,8 @@
 
 } // namespace
 
-milliseconds return_schedule::next_delay(milliseconds first, double per_second,
-                                         boot_clock::time_point now)
+milliseconds retry_schedule::next_delay(milliseconds first, double per_second,
+                                        boot_clock::time_point now)
 {
     const auto earliest = now + first;
     if (next_ < earliest || next_ > earliest + max_spread)
--- a/src/request/return_schedule.hpp
+++ b/src/request/retry_schedule.hpp
@@ -7,7 +7,7 @@
 
 /// Times at which refused callers should come back, spread so that no more come
 /// at once than can be served. Not thread-safe.
-class return_schedule final
+class retry_schedule final
 {
 public:
     /// Returns the delay for a caller refused now: at least `first`, later by
--- a/src/request/server_rate_limiter.cpp
+++ b/src/request/server_rate_limiter.cpp
@@ -17,11 +17,6 @@
 /// A longer time without any call means that the process was suspended.
 constexpr milliseconds max_pause{1000};
 
-std::uint64_t start_of(const backend_server& server)
-{
-    return stable_hash(server.id, server.started_ms);
-}
-
 } // namespace
 
 server_rate_limiter::server_rate_limiter(std::string self)
@@ -35,7 +30,7 @@
 {
     const bool limited = per_second < no_rate_limit;
     return table_.add(
-        {start_of(server), per_second, limited ? now : request_sent}, true);
+        {server.start_hash(), per_second, limited ? now : request_sent}, true);
 }
 
 server_limit_change server_rate_limiter::merge(const server_limit_news& news)
@@ -46,7 +41,8 @@
 std::optional<double>
 server_rate_limiter::limit_of(const backend_server& server) const
 {
-    return table_.limited() == 0 ? std::nullopt : table_.find(start_of(server));
+    return table_.limited() == 0 ? std::nullopt
+                                 : table_.find(server.start_hash());
 }
 
 std::optional<send_permit>
@@ -63,7 +59,7 @@
         return std::nullopt;
     }
     return send_permit(
-        [this, start = start_of(server)]
+        [this, start = server.start_hash()]
         {
             const auto found = entries_.find(start);
             if (found != entries_.end())
@@ -136,7 +132,7 @@
     {
         return nullptr;
     }
-    const auto start = start_of(server);
+    const auto start = server.start_hash();
     const auto limit = table_.find(start);
     if (!limit)
     {
@@ -164,7 +160,7 @@
                                             double per_second) const
 {
     return role == sender_role::chosen
-               ? shares_.share(start_of(server), stable_hash(server.service),
+               ? shares_.share(server.start_hash(), stable_hash(server.service),
                                per_second)
                : shares_.owner_share(role == sender_role::owner, per_second);
 }
--- a/src/roles/gateway_state.cpp
+++ b/src/roles/gateway_state.cpp
@@ -118,13 +118,13 @@
         per_second += limits_.limit_of(*server).value_or(0);
     }
     per_second /= static_cast<double>(limits_.shares().processes());
-    return returns_[service].next_delay(std::max(first, min_retry_delay),
-                                        per_second, now);
+    return retry_schedules_[service].next_delay(
+        std::max(first, min_retry_delay), per_second, now);
 }
 
 std::optional<std::shared_ptr<const void>>
-gateway_state::reserve_place(const std::string& service, milliseconds delay,
-                             boot_clock::time_point now)
+gateway_state::reserve_send(const std::string& service, milliseconds delay,
+                            boot_clock::time_point now)
 {
     double permits = 0;
     for (const auto& server : directory_.servers(service))
@@ -135,18 +135,18 @@
         }
         if (!limits_.limit_of(*server))
         {
-            return nullptr; // no place is needed
+            return nullptr; // no reservation is needed
         }
         permits += limits_.expected_permits(*server, delay, now);
     }
-    auto& place = places_[service];
-    place = place ? place : std::make_shared<const int>(0);
-    const auto reserved = static_cast<double>(place.use_count() - 1);
+    auto& reservation = reservations_[service];
+    reservation = reservation ? reservation : std::make_shared<const int>(0);
+    const auto reserved = static_cast<double>(reservation.use_count() - 1);
     if (reserved + 1 > permits)
     {
         return std::nullopt;
     }
-    return place;
+    return reservation;
 }
 
 windowed_retry_budget&
--- a/src/roles/gateway_state.hpp
+++ b/src/roles/gateway_state.hpp
@@ -5,7 +5,7 @@
 #include "process/server_holds.hpp"
 #include "request/direct_balancer.hpp"
 #include "request/prompt_quarantine.hpp"
-#include "request/return_schedule.hpp"
+#include "request/retry_schedule.hpp"
 #include "request/server_rate_limiter.hpp"
 #include "request/stage_time_estimator.hpp"
 #include "request/windowed_retry_budget.hpp"
@@ -92,10 +92,11 @@
 
     /// Reserves the send of a request that must pass stages before, if all
     /// servers of its service have rate limits. Returns nothing if they would
-    /// not allow it after `delay`. The place is released with its last copy.
+    /// not allow it after `delay`. The reservation is released with its last
+    /// copy.
     std::optional<std::shared_ptr<const void>>
-    reserve_place(const std::string& service, milliseconds delay,
-                  boot_clock::time_point now);
+    reserve_send(const std::string& service, milliseconds delay,
+                 boot_clock::time_point now);
 
     /// Returns a delay for a caller that is refused because of rate limits.
     milliseconds limit_retry_delay(const std::string& service,
@@ -121,8 +122,9 @@
     backend_directory directory_;
     server_holds holds_;
     server_rate_limiter limits_;
-    absl::flat_hash_map<std::string, return_schedule> returns_; ///< by service
-    absl::flat_hash_map<std::string, std::shared_ptr<const int>> places_;
+    absl::flat_hash_map<std::string, retry_schedule>
+        retry_schedules_; ///< by service
+    absl::flat_hash_map<std::string, std::shared_ptr<const int>> reservations_;
     direct_balancer balancer_;
     stage_time_estimator stage_times_;
     prompt_quarantine quarantine_;
