--- a/tests/platform/stream_test.cpp
+++ b/tests/platform/stream_test.cpp
@@ -18,6 +18,37 @@
     return text;
 }
 
+/// Two engines of a route whose streams may be resumed.
+struct resumable_streams final
+{
+    resumable_streams()
+    {
+        cluster.add_route("/talk/", "streaming", "engine")["streamResume"] =
+            true;
+        cluster.publish();
+    }
+
+    /// Lets the next stream of each break off: either may get it first.
+    void break_next_streams(unsigned after_event, milliseconds interval)
+    {
+        for (auto* engine : {&one, &two})
+        {
+            engine->clear_faults();
+            engine->set_stream(5, interval);
+            engine->break_next_stream_after(after_event);
+        }
+    }
+
+    std::size_t run_count(const std::string& id) const
+    {
+        return one.run_count(id) + two.run_count(id);
+    }
+
+    test_cluster cluster;
+    backend_standin& one = cluster.add_backend("engine", "engine-1");
+    backend_standin& two = cluster.add_backend("engine", "engine-2");
+};
+
 } // namespace
 
 /// Event streams that are complete, resumed or visibly incomplete.
@@ -68,23 +99,12 @@
 
     void a_resumable_stream_goes_on_elsewhere()
     {
-        test_cluster cluster;
-        auto& one = cluster.add_backend("engine", "engine-1");
-        auto& two = cluster.add_backend("engine", "engine-2");
-        cluster.add_route("/talk/", "streaming", "engine")["streamResume"] =
-            true;
-        cluster.publish();
+        resumable_streams streams;
+        auto& cluster = streams.cluster;
         auto& gateway = cluster.start_gateway();
         for (unsigned broken = 1; broken <= 4; ++broken)
         {
-            for (auto* engine : {&one, &two})
-            {
-                engine->set_stream(5, milliseconds(10));
-                engine->break_next_stream_after(0);
-            }
-            // Either engine may get the request first, so both break off.
-            one.break_next_stream_after(broken);
-            two.break_next_stream_after(broken);
+            streams.break_next_streams(broken, milliseconds(10));
             const std::string id = "r" + std::to_string(broken);
             section("connection lost after event " + std::to_string(broken),
                     [&]
@@ -92,9 +112,8 @@
                         test_caller caller(gateway.callers());
                         const auto answer =
                             caller.send_request(cluster.request("/talk/x", id));
-                        const auto sends =
-                            one.run_count(id) + two.run_count(id);
-                        CPPUNIT_ASSERT_EQUAL(std::size_t(2), sends);
+                        CPPUNIT_ASSERT_EQUAL(std::size_t(2),
+                                             streams.run_count(id));
                         // The resumed stream breaks off after as many events.
                         const auto last = std::min(5U, 2 * broken);
                         if (2 * broken > 5)
@@ -114,12 +133,8 @@
 
     void an_error_of_the_next_server_is_no_part_of_a_stream()
     {
-        test_cluster cluster;
-        auto& one = cluster.add_backend("engine", "engine-1");
-        auto& two = cluster.add_backend("engine", "engine-2");
-        cluster.add_route("/talk/", "streaming", "engine")["streamResume"] =
-            true;
-        cluster.publish();
+        resumable_streams streams;
+        auto& cluster = streams.cluster;
         auto& gateway = cluster.start_gateway();
         const std::pair<const char*, backend_fault> kinds[] = {
             {"error with a length", backend_fault::failure},
@@ -135,23 +150,14 @@
             section(name,
                     [&, kind = kind]
                     {
-                        for (auto* engine : {&one, &two})
-                        {
-                            engine->clear_faults();
-                            engine->set_stream(5, milliseconds(80));
-                            engine->break_next_stream_after(2);
-                        }
+                        streams.break_next_streams(2, milliseconds(80));
                         std::thread during_stream(
                             [&]
                             {
                                 bench::wait_until(
-                                    [&] {
-                                        return one.run_count(id) +
-                                                   two.run_count(id) >
-                                               0;
-                                    });
-                                one.add_faults({kind});
-                                two.add_faults({kind});
+                                    [&] { return streams.run_count(id) > 0; });
+                                streams.one.add_faults({kind});
+                                streams.two.add_faults({kind});
                             });
                         test_caller caller(gateway.callers());
                         const auto answer =
