Give each type a name of its own: two were called backend_server

Cause: src/process and src/version each defined a struct mangolink::backend_server, with other members. Their implicit constructors and destructors are weak symbols of one name. Whichever the linker met first was used for both: the move of the one read past the end of the other. It depended on which of them the compiler put out of line; a new file of tests that keeps servers in a vector made it do so.

Evidence: the report names backend_server.hpp:13 below configuration_parser.cpp:201; nm shows one symbol for both. No program that is installed was concerned: mangolink-entry and mangolink-agent link only the one, mangolink-gateway only the other.

The configuration's is configured_server now. `distance`, defined twice with another underlying type's spelling, is one header. A search over all headers finds no other name that is defined twice.

--- a/src/process/member.hpp
+++ b/src/process/member.hpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 #include "base/incarnation.hpp"
 #include "process/agent_state.hpp"
+#include "process/distance.hpp"
 
 #include <cstdint>
 #include <string>
@@ -15,14 +16,6 @@
 {
 };
 
-/// Distance between a backend server and the entry.
-enum class distance : std::uint8_t
-{
-    same_zone,
-    same_region,
-    other_region
-};
-
 /// Load of a backend server from the last report of its agent.
 struct member_load final
 {
--- a/src/process/member_table.cpp
+++ b/src/process/member_table.cpp
@@ -210,7 +210,7 @@
     const std::uint64_t seed = stable_hash(settings_.instance);
     for (const std::uint32_t index : next.pools()[pool].servers)
     {
-        const backend_server& server = next.servers()[index];
+        const configured_server& server = next.servers()[index];
         const bool remote = server.region != settings_.region;
         (remote ? far : near)
             .push_back({remote, stable_hash(server.name, seed), index});
@@ -238,7 +238,7 @@
     return chosen;
 }
 
-distance member_table::distance_to(const backend_server& server) const
+distance member_table::distance_to(const configured_server& server) const
 {
     if (server.region != settings_.region)
     {
@@ -248,7 +248,7 @@
                                          : distance::same_region;
 }
 
-member_id member_table::keep_or_add(const backend_server& server,
+member_id member_table::keep_or_add(const configured_server& server,
                                     membership_change& change)
 {
     const auto found = names_.find(server.name);
--- a/src/process/member_table.hpp
+++ b/src/process/member_table.hpp
@@ -18,7 +18,7 @@
 {
 
 class configuration;
-struct backend_server;
+struct configured_server;
 
 /// Location of an entry, size of its agent subsets and ejection parameters.
 struct member_table_settings final
@@ -92,8 +92,8 @@
 private:
     std::vector<std::uint32_t> choose_subset(const configuration& next,
                                              std::uint32_t pool) const;
-    distance distance_to(const backend_server& server) const;
-    member_id keep_or_add(const backend_server& server,
+    distance distance_to(const configured_server& server) const;
+    member_id keep_or_add(const configured_server& server,
                           membership_change& change);
     bool may_eject(member_id id, boot_clock::time_point now) const;
 
--- a/src/process/placement.hpp
+++ b/src/process/placement.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "process/distance.hpp"
+
 #include <algorithm>
 #include <string>
 #include <string_view>
@@ -8,14 +10,6 @@
 namespace mangolink
 {
 
-/// Distance from this process.
-enum class distance : unsigned char
-{
-    same_zone,
-    same_region,
-    other_region
-};
-
 /// Location of this process, used to prefer nearby servers.
 struct placement final
 {
--- a/src/version/configuration.hpp
+++ b/src/version/configuration.hpp
@@ -25,8 +25,8 @@
                            const configuration_position&) = default;
 };
 
-/// A backend server of a pool.
-struct backend_server final
+/// A backend server of a pool, as the configuration lists it.
+struct configured_server final
 {
     std::string name;
     std::string pool;
@@ -94,7 +94,7 @@
     parse(const nlohmann::json& value, configuration_position position);
 
     const configuration_position& position() const { return position_; }
-    const std::vector<backend_server>& servers() const { return servers_; }
+    const std::vector<configured_server>& servers() const { return servers_; }
     const std::vector<server_pool>& pools() const { return pools_; }
     const std::vector<pipeline>& pipelines() const { return pipelines_; }
     const std::vector<customer>& customers() const { return customers_; }
@@ -110,7 +110,7 @@
     friend class configuration_parser;
 
     configuration_position position_;
-    std::vector<backend_server> servers_;
+    std::vector<configured_server> servers_;
     std::vector<server_pool> pools_;
     std::vector<pipeline> pipelines_;
     std::vector<customer> customers_;
--- a/src/version/configuration_parser.cpp
+++ b/src/version/configuration_parser.cpp
@@ -185,11 +185,11 @@
         const std::string location = "/backend_servers/" + member.key();
         const json& fields = member.value();
         require_known(fields, location, {"pool", "zone", "region", "agent"});
-        backend_server server{member.key(),
-                              required_string(fields, location, "pool"),
-                              required_string(fields, location, "zone"),
-                              required_string(fields, location, "region"),
-                              required_string(fields, location, "agent")};
+        configured_server server{member.key(),
+                                 required_string(fields, location, "pool"),
+                                 required_string(fields, location, "zone"),
+                                 required_string(fields, location, "region"),
+                                 required_string(fields, location, "agent")};
         const auto pool = result_->pool_index_.find(server.pool);
         if (pool == result_->pool_index_.end())
         {
