--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -164,13 +164,14 @@
 }
 
 std::string engine_entry(const std::string& service, const std::string& address,
-                         int slots)
+                         int slots, int start)
 {
+    constexpr int first_start_ms = 1'000'000;
     return R"({"service":")" + service + R"(","address":")" + address +
            R"(","zone":"zone-a","version":"v1","slots":)" +
            std::to_string(slots) +
-           R"(,"state":"ready","coldRemainingMs":0,"born":1000000,)" +
-           R"("sequence":1})";
+           R"(,"state":"ready","coldRemainingMs":0,"born":)" +
+           std::to_string(first_start_ms + start) + R"(,"sequence":1})";
 }
 
 std::string route_text(const std::string& prefix, const std::string& kind,
--- a/review/standins/deployment.hpp
+++ b/review/standins/deployment.hpp
@@ -80,9 +80,10 @@
     pid_t process_ = -1;
 };
 
-/// Returns the text of a published entry of an engine.
+/// Returns the text of a published entry of an engine. `start`: number of its
+/// start under its id.
 std::string engine_entry(const std::string& service, const std::string& address,
-                         int slots);
+                         int slots, int start = 0);
 
 /// Returns a route for host "site.example"; `more` is appended to its fields.
 std::string route_text(const std::string& prefix, const std::string& kind,
--- a/review/standins/http.cpp
+++ b/review/standins/http.cpp
@@ -34,6 +34,8 @@
 int listen_on(const std::string& address)
 {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     const sockaddr_in bound = parse_address(address);
     constexpr int backlog = 512;
     if (::bind(descriptor, reinterpret_cast<const sockaddr*>(&bound),
@@ -276,35 +278,68 @@
 }
 
 server::server(handler handle)
-    : handle_(std::move(handle)), descriptor_(listen_on("127.0.0.1:0")),
-      address_("127.0.0.1:" + std::to_string(port_of(descriptor_)))
+    : handle_(std::move(handle)),
+      address_("127.0.0.1:" + std::to_string(free_port("127.0.0.1")))
 {
-    std::thread([this] { accept_connections(); }).detach();
+    listen();
 }
 
-void server::accept_connections()
+void server::crash()
 {
-    while (true)
+    const std::lock_guard lock(mutex_);
+    ::shutdown(descriptor_, SHUT_RDWR); // ends the accepting thread
+    ::close(std::exchange(descriptor_, -1));
+    for (const int each : connections_)
     {
-        const int accepted =
-            ::accept4(descriptor_, nullptr, nullptr, SOCK_CLOEXEC);
-        if (accepted < 0)
+        ::shutdown(each, SHUT_RDWR); // closed by its thread
+    }
+}
+
+void server::recover()
+{
+    listen();
+}
+
+void server::listen()
+{
+    const std::lock_guard lock(mutex_);
+    descriptor_ = listen_on(address_);
+    std::thread(
+        [this, listening = descriptor_]
         {
-            return;
-        }
-        send_without_delay(accepted);
-        std::thread(
-            [this, accepted]
+            int accepted = 0;
+            while (accepted >= 0)
             {
-                connection peer(accepted);
-                auto request = peer.read_request();
-                while (request && handle_(peer, *request))
+                accepted = ::accept4(listening, nullptr, nullptr, SOCK_CLOEXEC);
+                if (accepted >= 0)
                 {
-                    request = peer.read_request();
+                    send_without_delay(accepted);
+                    std::thread([this, accepted] { serve(accepted); }).detach();
                 }
-            })
-            .detach();
+            }
+        })
+        .detach();
+}
+
+void server::serve(int accepted)
+{
+    connection peer(accepted);
+    {
+        const std::lock_guard lock(mutex_);
+        if (descriptor_ < 0)
+        {
+            return;
+        }
+        connections_.insert(accepted);
+    }
+    auto request = peer.read_request();
+    while (request && handle_(peer, *request))
+    {
+        request = peer.read_request();
     }
+    const std::lock_guard lock(mutex_);
+    connections_.erase(accepted);
+    peer.close();
 }
 
 std::string response(int status, const std::string& body,
--- a/review/standins/http.hpp
+++ b/review/standins/http.hpp
@@ -3,7 +3,9 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -91,12 +93,21 @@
 
     const std::string& address() const { return address_; }
 
+    /// Closes all connections and refuses new ones until recover().
+    void crash();
+
+    /// Listens at the same address again.
+    void recover();
+
 private:
-    void accept_connections();
+    void listen();
+    void serve(int accepted);
 
     handler handle_;
-    int descriptor_ = -1;
     std::string address_;
+    std::mutex mutex_;
+    int descriptor_ = -1;
+    std::set<int> connections_;
 };
 
 /// Returns a response; each header line ends with CRLF.
