Choose servers from a view filtered by the allowed regions

Cause: routes and customers may name the regions that their requests are served in.

Change: every choice of a server takes its candidates from the directory together with the regions that the request may use; there is no list without them. eligible_servers filters once for each set of regions and version of the directory. The set is the one of the route and the customer, by the configuration that accepted the request and by the current one. A request without a region, or whose regions have no server that it needs, is refused at once and counted. The names are not read from the platform yet, so all deployments are served as before.

--- a/src/connection/attempt_sender.cpp
+++ b/src/connection/attempt_sender.cpp
@@ -62,9 +62,8 @@
     while (unsent < max_connect_failures && time_left() > min_time_left &&
            connect_time() > milliseconds(0) && is_wanted())
     {
-        auto server = state.balancer().choose(
-            state.directory().servers(accepted_.service), preferences(stages),
-            boot_clock::now());
+        auto server = state.balancer().choose(servers(), preferences(stages),
+                                              boot_clock::now());
         if (!server && co_await wait_for_permit(stages))
         {
             continue;
@@ -98,8 +97,9 @@
             context_.connections.release(server->id, lease.connection, {});
             continue;
         }
-        // The server may have been removed while the connection was opened.
-        if (lease.connection && state.directory().find(server->id))
+        // The server may have been removed, or its region withdrawn, while the
+        // connection was opened.
+        if (lease.connection && may_use(*server))
         {
             auto exchange = std::make_shared<backend_exchange>(
                 server, lease.connection, std::move(*permit), context_.protocol,
@@ -194,9 +194,9 @@
 
 bool attempt_sender::has_untried_server(const std::string& except) const
 {
-    const auto& servers = context_.state.directory().servers(accepted_.service);
+    const auto& candidates = servers();
     const auto now = boot_clock::now();
-    return std::any_of(servers.begin(), servers.end(),
+    return std::any_of(candidates.begin(), candidates.end(),
                        [&](const auto& server)
                        {
                            return server->id != except &&
@@ -216,8 +216,7 @@
     }
     const auto now = boot_clock::now();
     std::optional<milliseconds> first;
-    for (const auto& server :
-         context_.state.directory().servers(accepted_.service))
+    for (const auto& server : servers())
     {
         const bool tried =
             std::find(tried_servers_.begin(), tried_servers_.end(),
@@ -317,8 +316,7 @@
     result.shared_tokens = accepted_.metadata.shared_tokens;
     result.excluded = tried_servers_;
     const auto now = boot_clock::now();
-    for (const auto& server :
-         context_.state.directory().servers(accepted_.service))
+    for (const auto& server : servers())
     {
         if (!context_.state.is_usable(*server, now))
         {
@@ -355,6 +353,20 @@
                : result;
 }
 
+const std::vector<std::shared_ptr<const backend_server>>&
+attempt_sender::servers() const
+{
+    return context_.state.directory().servers(accepted_.service,
+                                              context_.regions_of(accepted_));
+}
+
+bool attempt_sender::may_use(const backend_server& server) const
+{
+    return context_.state.directory().find(server.id) &&
+           context_.state.regions().contains(context_.regions_of(accepted_),
+                                             server.zone);
+}
+
 milliseconds attempt_sender::time_left() const
 {
     return std::chrono::duration_cast<milliseconds>(accepted_.deadline -
--- a/src/connection/attempt_sender.hpp
+++ b/src/connection/attempt_sender.hpp
@@ -76,6 +76,9 @@
     /// a stream was begun for the request. Returns false if that is of no use.
     asio::awaitable<bool> wait_for_permit(const request_stages* stages) const;
     void record_broken(const forward_attempt& attempt) const;
+    /// Returns the servers that the request may be sent to now.
+    const std::vector<std::shared_ptr<const backend_server>>& servers() const;
+    bool may_use(const backend_server& server) const;
     milliseconds time_left() const;
 
     /// Returns the limit of a connect; one in progress can't be aborted.
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -188,9 +188,11 @@
     }
     const auto wanted = sender_->preferences(nullptr);
     const auto engine = context_.state.balancer().choose(
-        context_.state.directory().servers(accepted_.service), wanted,
-        boot_clock::now());
+        context_.state.directory().servers(accepted_.service,
+                                           context_.regions_of(accepted_)),
+        wanted, boot_clock::now());
     stages_parameters parameters;
+    parameters.regions = [this] { return context_.regions_of(accepted_); };
     parameters.request_id = accepted_.metadata.id;
     parameters.item_key = accepted_.metadata.item_key;
     parameters.deadline = accepted_.deadline;
@@ -293,8 +295,9 @@
                         retry_soon};
         details.reason =
             reason_of_end(last != nullptr ? "server refused" : details.reason);
-        if (const auto pause =
-                context_.state.pause_of(accepted_.service, boot_clock::now()))
+        if (const auto pause = context_.state.pause_of(
+                accepted_.service, context_.regions_of(accepted_),
+                boot_clock::now()))
         {
             details.retry_delay = std::max(retry_soon, pause->retry_delay);
             if (last == nullptr && !pause->held)
--- a/src/connection/gateway_context.cpp
+++ b/src/connection/gateway_context.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "base/metrics.hpp"
+#include "connection/accepted_request.hpp"
 #include "connection/socket_state.hpp"
 #include "roles/gateway_state.hpp"
 
@@ -14,6 +15,12 @@
     return configuration ? configuration->limits() : caller_limits();
 }
 
+region_set gateway_context::regions_of(const accepted_request& request) const
+{
+    return state.allowed_regions(*request.configuration, *request.route,
+                                 request.customer);
+}
+
 void gateway_context::record_unreadable_request(const tcp::socket& socket,
                                                 http::status status) const
 {
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -117,11 +117,13 @@
                       heartbeats_->send_to_all_soon();
                   }
               }),
+      region_refusals_(metrics_),
       updater_(
           state_, [this] { topology_changed(); },
           [this](const std::string& id) { remove_server(id); }),
-      context_{io_,          settings_, protocol_, metrics_, state_,   memory_,
-               connections_, stages_,   prompts_,  limits_,  listener_},
+      context_{io_,      settings_, protocol_,        metrics_,
+               state_,   memory_,   connections_,     stages_,
+               prompts_, limits_,   region_refusals_, listener_},
       reader_activation_(io_),
       updates_(io_, state_, updater_, reader_activation_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
--- a/src/connection/gateway_server.hpp
+++ b/src/connection/gateway_server.hpp
@@ -7,6 +7,7 @@
 #include "connection/backend_pool.hpp"
 #include "connection/gateway_context.hpp"
 #include "connection/prompt_guard.hpp"
+#include "connection/region_refusals.hpp"
 #include "connection/server_limit_guard.hpp"
 #include "connection/stage_dispatcher.hpp"
 #include "connection/store_reader_activation.hpp"
@@ -96,6 +97,7 @@
     stage_dispatcher stages_;
     prompt_guard prompts_;
     server_limit_guard limits_;
+    region_refusals region_refusals_;
     gateway_state_updater updater_;
     gateway_context context_;
     std::shared_ptr<tcp::acceptor> caller_acceptor_;
--- a/src/connection/request_check.cpp
+++ b/src/connection/request_check.cpp
@@ -4,6 +4,7 @@
 #include "connection/gateway_context.hpp"
 #include "connection/http_headers.hpp"
 #include "connection/prompt_guard.hpp"
+#include "connection/region_refusals.hpp"
 #include "connection/server_limit_guard.hpp"
 #include "connection/stage_dispatcher.hpp"
 #include "process/memory_budget.hpp"
@@ -148,34 +149,64 @@
         return refusal{http::status::service_unavailable, "no time left",
                        retry_soon};
     }
-    const auto& servers = context_.state.directory().servers(result_.service);
+    const auto regions = context_.regions_of(result_);
+    if (auto refused = check_regions(regions))
+    {
+        return refused;
+    }
+    const auto& servers =
+        context_.state.directory().servers(result_.service, regions);
     if (servers.empty())
     {
         return refusal{http::status::service_unavailable, "no server",
                        retry_soon};
     }
-    if (auto refused = check_pause())
+    if (auto refused = check_pause(regions))
     {
         return refused;
     }
-    if (auto refused = check_stage_time())
+    if (auto refused = check_stage_time(regions))
     {
         return refused;
     }
-    return reserve_send();
+    return reserve_send(regions);
+}
+
+std::optional<refusal> request_check::check_regions(region_set regions) const
+{
+    if (regions.is_all())
+    {
+        return std::nullopt;
+    }
+    if (regions.empty())
+    {
+        return context_.refusals_by_region.no_region();
+    }
+    const auto& directory = context_.state.directory();
+    bool complete = !directory.servers(result_.service, regions).empty();
+    const auto& stages = result_.route->stages;
+    const stage_plan plan(stages, result_.metadata.item_counts);
+    for (std::uint32_t i = 0; i < stages.size() && complete; ++i)
+    {
+        complete = plan.item_count(i) == 0 ||
+                   !directory.servers(stages[i].service, regions).empty();
+    }
+    return complete ? std::nullopt
+                    : std::optional(context_.refusals_by_region.no_server());
 }
 
-std::optional<refusal> request_check::check_pause() const
+std::optional<refusal> request_check::check_pause(region_set regions) const
 {
     // A request with stages needs a server later: reserve_send().
     const bool has_stages = !result_.route->stages.empty();
     const auto now = boot_clock::now();
-    const auto& servers = context_.state.directory().servers(result_.service);
+    const auto& servers =
+        context_.state.directory().servers(result_.service, regions);
     if (has_stages && !context_.state.holds().remaining_of_all(servers, now))
     {
         return std::nullopt;
     }
-    const auto pause = context_.state.pause_of(result_.service, now);
+    const auto pause = context_.state.pause_of(result_.service, regions, now);
     if (!pause)
     {
         return std::nullopt;
@@ -186,7 +217,7 @@
                : context_.server_limits.refuse(pause->retry_delay);
 }
 
-std::optional<refusal> request_check::reserve_send()
+std::optional<refusal> request_check::reserve_send(region_set regions)
 {
     if (result_.route->stages.empty())
     {
@@ -194,11 +225,11 @@
     }
     const auto now = boot_clock::now();
     auto reservation = context_.state.reserve_send(
-        result_.service, result_.expected_stages_time, now);
+        result_.service, regions, result_.expected_stages_time, now);
     if (!reservation)
     {
         return context_.server_limits.refuse(context_.state.limit_retry_delay(
-            result_.service, milliseconds(0), now));
+            result_.service, regions, milliseconds(0), now));
     }
     result_.reservation = std::move(*reservation);
     return std::nullopt;
@@ -209,7 +240,7 @@
     return context_.prompts.check(result_.metadata.prompt);
 }
 
-std::optional<refusal> request_check::check_stage_time()
+std::optional<refusal> request_check::check_stage_time(region_set regions)
 {
     const auto& stages = result_.route->stages;
     const stage_plan plan(stages, result_.metadata.item_counts);
@@ -219,6 +250,7 @@
             stage_demand demand;
             demand.item_count = plan.item_count(stage);
             demand.result_bytes = stages[stage].result_bytes;
+            demand.regions = regions;
             return context_.stages.expected_time(stages[stage].service, demand);
         });
     const auto expected = context_.state.stage_times().corrected(
--- a/src/connection/request_check.hpp
+++ b/src/connection/request_check.hpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.hpp"
 #include "connection/accepted_request.hpp"
+#include "process/region_set.hpp"
 
 #include <optional>
 
@@ -42,9 +43,10 @@
     std::optional<refusal> check_customer();
     std::optional<refusal> check_prompt() const;
     std::optional<refusal> check_capacity();
-    std::optional<refusal> check_pause() const;
-    std::optional<refusal> reserve_send();
-    std::optional<refusal> check_stage_time();
+    std::optional<refusal> check_regions(region_set regions) const;
+    std::optional<refusal> check_pause(region_set regions) const;
+    std::optional<refusal> reserve_send(region_set regions);
+    std::optional<refusal> check_stage_time(region_set regions);
     void choose_service();
     milliseconds time_left() const;
 
--- a/src/connection/request_stages.cpp
+++ b/src/connection/request_stages.cpp
@@ -157,6 +157,7 @@
             std::max(task->input_bytes, plan_.stage(input).result_bytes);
     }
     task->deadline = parameters_.deadline;
+    task->regions = parameters_.regions();
     task->preferred_zone = parameters_.preferred_zone;
     // The wait for the zone is limited to the cost of moving the results.
     const double moved =
--- a/src/connection/request_stages.hpp
+++ b/src/connection/request_stages.hpp
@@ -7,6 +7,7 @@
 #include "request/stage_task.hpp"
 #include "version/gateway_route.hpp"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -25,6 +26,8 @@
     boot_clock::time_point deadline; ///< the request is useless afterwards
     std::string preferred_zone;      ///< zone of its server; empty: none
     milliseconds preference{0};      ///< extra wait accepted for that zone
+    /// Returns the regions that the stages may run in now.
+    std::function<region_set()> regions = region_set::all;
 };
 
 /// Executes the stages of one request and releases results that are no longer
--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -282,7 +282,8 @@
 bool stage_caller::has_alternative(const backend_server& server) const
 {
     const auto now = boot_clock::now();
-    const auto& all = state_.directory().servers(server.service);
+    const auto& all =
+        state_.directory().servers(server.service, region_set::all());
     return std::any_of(all.begin(), all.end(),
                        [&](const auto& other) {
                            return other->id != server.id &&
--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -57,12 +57,12 @@
 void stage_dispatcher::submit(std::shared_ptr<const stage_task> task)
 {
     const auto* pool_parameters = state_.find_stage_pool(task->service);
-    const auto server =
-        pool_parameters == nullptr
-            ? nullptr
-            : router_.choose(state_.directory().groups().subset(task->service),
-                             *pool_parameters, demand_of(*task),
-                             boot_clock::now());
+    const auto server = pool_parameters == nullptr
+                            ? nullptr
+                            : router_.choose(state_.directory().groups().subset(
+                                                 task->service, task->regions),
+                                             *pool_parameters, demand_of(*task),
+                                             boot_clock::now());
     if (!server)
     {
         end_items(*task, stage_item_outcome::failed);
@@ -106,11 +106,11 @@
 {
     const auto* pool_parameters = state_.find_stage_pool(service);
     const auto now = boot_clock::now();
-    const auto server =
-        pool_parameters == nullptr
-            ? nullptr
-            : router_.choose(state_.directory().groups().subset(service),
-                             *pool_parameters, demand, now);
+    const auto server = pool_parameters == nullptr
+                            ? nullptr
+                            : router_.choose(state_.directory().groups().subset(
+                                                 service, demand.regions),
+                                             *pool_parameters, demand, now);
     return server
                ? router_.expected_time(*server, *pool_parameters, demand, now)
                : milliseconds(0);
@@ -169,6 +169,7 @@
     demand.result_bytes = task.result_bytes;
     demand.preferred_zone = task.preferred_zone;
     demand.preference = task.preference;
+    demand.regions = task.regions;
     for (const auto& input : task.inputs)
     {
         const auto result_server =
--- a/src/process/backend_directory.cpp
+++ b/src/process/backend_directory.cpp
@@ -15,8 +15,9 @@
 } // namespace
 
 backend_directory::backend_directory(milliseconds suspicion_timeout,
-                                     placement place)
-    : suspicion_timeout_(suspicion_timeout), groups_(std::move(place))
+                                     placement place, region_table regions)
+    : suspicion_timeout_(suspicion_timeout), by_service_(regions),
+      groups_(std::move(place), regions)
 {
 }
 
@@ -172,12 +173,10 @@
 }
 
 const std::vector<backend_directory::server_pointer>&
-backend_directory::servers(std::string_view service) const
+backend_directory::servers(std::string_view service, region_set regions) const
 {
-    static const std::vector<server_pointer> none;
     index();
-    const auto found = by_service_.find(std::string(service));
-    return found == by_service_.end() ? none : found->second;
+    return by_service_.of(service, regions);
 }
 
 const server_groups& backend_directory::groups() const
@@ -240,22 +239,23 @@
         return;
     }
     indexed_ = true;
-    by_service_.clear();
+    server_groups::servers_by_service by_service;
     by_address_.clear();
     for (const auto& [id, entry] : servers_)
     {
         if (!entry.server->leaving)
         {
-            by_service_[entry.server->service].push_back(entry.server);
+            by_service[entry.server->service].push_back(entry.server);
             by_address_[entry.server->address.text()] = entry.server;
         }
     }
-    for (auto& [service, list] : by_service_)
+    for (auto& [service, list] : by_service)
     {
         std::sort(list.begin(), list.end(),
                   [](const auto& a, const auto& b) { return a->id < b->id; });
     }
-    groups_.rebuild(by_service_);
+    groups_.rebuild(by_service);
+    by_service_.replace(std::move(by_service));
 }
 
 } // namespace mangolink
--- a/src/process/backend_directory.hpp
+++ b/src/process/backend_directory.hpp
@@ -42,7 +42,7 @@
     /// rules of the platform, a leaving server must get no more work. `place`
     /// is that of this process.
     explicit backend_directory(milliseconds suspicion_timeout,
-                               placement place = {});
+                               placement place = {}, region_table regions = {});
 
     /// Adds or updates a server. An outdated entry is ignored.
     directory_change put(backend_server server);
@@ -74,8 +74,9 @@
     /// Removes suspected servers whose timeout has passed; returns their ids.
     std::vector<std::string> expire(boot_clock::time_point now);
 
-    /// Returns the servers of a service that accept new work.
-    const std::vector<server_pointer>& servers(std::string_view service) const;
+    /// Returns the servers of a service in the regions that accept new work.
+    const std::vector<server_pointer>& servers(std::string_view service,
+                                               region_set regions) const;
 
     /// Returns the groups and subsets of the servers that accept new work.
     const server_groups& groups() const;
@@ -117,7 +118,7 @@
     milliseconds suspicion_timeout_;
     absl::flat_hash_map<std::string, directory_entry> servers_;
     mutable bool indexed_ = true;
-    mutable server_groups::servers_by_service by_service_;
+    mutable eligible_servers by_service_;
     mutable absl::flat_hash_map<std::string, server_pointer>
         by_address_; ///< IP:PORT
     mutable server_groups groups_;
--- a/src/process/server_groups.cpp
+++ b/src/process/server_groups.cpp
@@ -40,7 +40,8 @@
 
 } // namespace
 
-server_groups::server_groups(placement place) : place_(std::move(place))
+server_groups::server_groups(placement place, region_table regions)
+    : place_(std::move(place)), subsets_(std::move(regions))
 {
 }
 
@@ -56,7 +57,7 @@
     }
     pool_sizes_.clear();
     groups_.clear();
-    subsets_.clear();
+    servers_by_service subsets;
     for (auto& [key, list] : pools)
     {
         pool_sizes_[key] = list.size();
@@ -68,9 +69,10 @@
                       key.second == place_.zone ? max_subset_in_zone
                                                 : max_subset_beyond,
                       place_.instance);
-        auto& subset = subsets_[key.first];
+        auto& subset = subsets[key.first];
         subset.insert(subset.end(), list.begin(), list.end());
     }
+    subsets_.replace(std::move(subsets));
 }
 
 std::string server_groups::group_of(const backend_server& server) const
@@ -91,10 +93,10 @@
     return found == groups_.end() ? no_servers : found->second;
 }
 
-const server_list& server_groups::subset(std::string_view service) const
+const server_list& server_groups::subset(std::string_view service,
+                                         region_set regions) const
 {
-    const auto found = subsets_.find(std::string(service));
-    return found == subsets_.end() ? no_servers : found->second;
+    return subsets_.of(service, regions);
 }
 
 } // namespace mangolink
--- a/src/process/server_groups.hpp
+++ b/src/process/server_groups.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/backend_server.hpp"
+#include "process/eligible_servers.hpp"
 #include "process/placement.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -23,11 +24,10 @@
 class server_groups final
 {
 public:
-    using server_pointer = std::shared_ptr<const backend_server>;
-    using servers_by_service =
-        absl::flat_hash_map<std::string, std::vector<server_pointer>>;
+    using server_pointer = eligible_servers::server_pointer;
+    using servers_by_service = eligible_servers::servers_by_service;
 
-    explicit server_groups(placement place);
+    explicit server_groups(placement place, region_table regions = {});
 
     /// Replaces all servers.
     void rebuild(const servers_by_service& servers);
@@ -39,8 +39,10 @@
     const std::vector<server_pointer>&
     members(const backend_server& server) const;
 
-    /// Returns the servers of a service that this process chooses among.
-    const std::vector<server_pointer>& subset(std::string_view service) const;
+    /// Returns the servers of a service in the regions that this process
+    /// chooses among.
+    const std::vector<server_pointer>& subset(std::string_view service,
+                                              region_set regions) const;
 
 private:
     using zone_key = std::pair<std::string, std::string>; ///< name, zone
@@ -48,7 +50,7 @@
     placement place_;
     absl::flat_hash_map<zone_key, std::size_t> pool_sizes_; ///< by service
     absl::flat_hash_map<zone_key, std::vector<server_pointer>> groups_;
-    servers_by_service subsets_;
+    eligible_servers subsets_;
 };
 
 } // namespace mangolink
--- a/src/request/stage_router.hpp
+++ b/src/request/stage_router.hpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 #include "process/backend_server.hpp"
 #include "process/placement.hpp"
+#include "process/region_set.hpp"
 #include "request/stage_queue.hpp"
 #include "version/gateway_service.hpp"
 
@@ -22,8 +23,9 @@
     std::uint64_t result_bytes = 0; ///< size of one result
     /// Total bytes of inputs that the items read, by the zone of the inputs.
     absl::flat_hash_map<std::string, std::uint64_t> inputs_in_zone;
-    std::string preferred_zone; ///< empty when there is none
-    milliseconds preference{0}; ///< cost of choosing another zone
+    std::string preferred_zone;             ///< empty when there is none
+    milliseconds preference{0};             ///< cost of choosing another zone
+    region_set regions = region_set::all(); ///< that the items may run in
 };
 
 /// Chooses the stage server for a task, using the load reports that the owners
--- a/src/request/stage_task.hpp
+++ b/src/request/stage_task.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.hpp"
+#include "process/region_set.hpp"
 #include "request/stage_item_outcome.hpp"
 #include "request/stage_plan.hpp"
 
@@ -43,6 +44,7 @@
     std::uint64_t input_bytes = 0;    ///< approximate size of one input
     std::string preferred_zone;       ///< zone of the model engine, or empty
     milliseconds preference{0};       ///< wait that this zone is worth
+    region_set regions = region_set::all(); ///< that the items may run in
 
     /// Returns whether the client still exists and needs the items.
     bool wanted() const
--- a/src/roles/gateway_state.cpp
+++ b/src/roles/gateway_state.cpp
@@ -39,10 +39,11 @@
     : retry_budget_settings_{settings.retry_ratio * retry_bound_fraction,
                              settings.retry_slack * retry_bound_fraction,
                              settings.retry_window},
-      slack_share_(1.0 / assumed_processes),
+      regions_(settings.region_of_zone), slack_share_(1.0 / assumed_processes),
       freshness_(settings.revocation_limit, freshness_margin),
-      directory_(suspicion_timeout, place_of(settings)), limits_(settings.name),
-      balancer_(place_of(settings)), quarantine_(settings.quarantine)
+      directory_(suspicion_timeout, place_of(settings), regions_),
+      limits_(settings.name), balancer_(place_of(settings)),
+      quarantine_(settings.quarantine)
 {
 }
 
@@ -81,9 +82,10 @@
 }
 
 std::optional<service_pause> gateway_state::pause_of(const std::string& service,
+                                                     region_set regions,
                                                      boot_clock::time_point now)
 {
-    const auto& servers = directory_.servers(service);
+    const auto& servers = directory_.servers(service, regions);
     std::optional<milliseconds> first;
     for (const auto& server : servers)
     {
@@ -103,17 +105,18 @@
         return service_pause{true, *hold};
     }
     return service_pause{
-        false,
-        limit_retry_delay(service, first.value_or(min_retry_delay), now)};
+        false, limit_retry_delay(service, regions,
+                                 first.value_or(min_retry_delay), now)};
 }
 
 milliseconds gateway_state::limit_retry_delay(const std::string& service,
+                                              region_set regions,
                                               milliseconds first,
                                               boot_clock::time_point now)
 {
     // Callers come back to any process, which refuse at about the same rate.
     double per_second = 0;
-    for (const auto& server : directory_.servers(service))
+    for (const auto& server : directory_.servers(service, regions))
     {
         per_second += limits_.limit_of(*server).value_or(0);
     }
@@ -123,11 +126,11 @@
 }
 
 std::optional<std::shared_ptr<const void>>
-gateway_state::reserve_send(const std::string& service, milliseconds delay,
-                            boot_clock::time_point now)
+gateway_state::reserve_send(const std::string& service, region_set regions,
+                            milliseconds delay, boot_clock::time_point now)
 {
     double permits = 0;
-    for (const auto& server : directory_.servers(service))
+    for (const auto& server : directory_.servers(service, regions))
     {
         if (holds_.is_held(*server, now))
         {
@@ -149,6 +152,40 @@
     return reservation;
 }
 
+region_set
+gateway_state::allowed_regions(const gateway_configuration& accepted_under,
+                               const gateway_route& route,
+                               const gateway_customer* customer) const
+{
+    region_set result = allowed_by(route.allowed_regions);
+    if (customer != nullptr)
+    {
+        result = result & allowed_by(customer->allowed_regions);
+    }
+    if (configuration_.get() == &accepted_under || !configuration_)
+    {
+        return result;
+    }
+    const auto* current = configuration_->find_route(route.host, route.prefix);
+    if (current != nullptr && current->prefix == route.prefix)
+    {
+        result = result & allowed_by(current->allowed_regions);
+    }
+    const auto* current_customer =
+        customer == nullptr
+            ? nullptr
+            : configuration_->find_customer_named(customer->name);
+    return current_customer == nullptr
+               ? result
+               : result & allowed_by(current_customer->allowed_regions);
+}
+
+region_set gateway_state::allowed_by(
+    const std::optional<std::vector<std::string>>& names) const
+{
+    return names ? regions_.set_of(*names) : region_set::all();
+}
+
 windowed_retry_budget&
 gateway_state::retry_budget_of(const std::string& service)
 {
--- a/src/roles/gateway_state.hpp
+++ b/src/roles/gateway_state.hpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.hpp"
 #include "process/backend_directory.hpp"
+#include "process/region_table.hpp"
 #include "process/server_holds.hpp"
 #include "request/direct_balancer.hpp"
 #include "request/prompt_quarantine.hpp"
@@ -17,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace mangolink
 {
@@ -84,10 +86,11 @@
     std::optional<milliseconds> time_until_usable(const backend_server& server,
                                                   boot_clock::time_point now);
 
-    /// Returns the pause of a service, or nothing if a server is usable. Each
-    /// call spreads the delay further, so it must be made once for each caller
-    /// that is refused.
+    /// Returns the pause of a service in the regions, or nothing if a server is
+    /// usable. Each call spreads the delay further, so it must be made once for
+    /// each caller that is refused.
     std::optional<service_pause> pause_of(const std::string& service,
+                                          region_set regions,
                                           boot_clock::time_point now);
 
     /// Reserves the send of a request that must pass stages before, if all
@@ -95,14 +98,23 @@
     /// not allow it after `delay`. The reservation is released with its last
     /// copy.
     std::optional<std::shared_ptr<const void>>
-    reserve_send(const std::string& service, milliseconds delay,
-                 boot_clock::time_point now);
+    reserve_send(const std::string& service, region_set regions,
+                 milliseconds delay, boot_clock::time_point now);
 
     /// Returns a delay for a caller that is refused because of rate limits.
     milliseconds limit_retry_delay(const std::string& service,
-                                   milliseconds first,
+                                   region_set regions, milliseconds first,
                                    boot_clock::time_point now);
 
+    /// Returns the regions that a request may be served in: those that its
+    /// route and its customer both allow, by the configuration under which it
+    /// was accepted and by the current one. `customer` may be null.
+    region_set allowed_regions(const gateway_configuration& accepted_under,
+                               const gateway_route& route,
+                               const gateway_customer* customer) const;
+
+    const region_table& regions() const { return regions_; }
+
     configuration_freshness& freshness() { return freshness_; }
     const configuration_freshness& freshness() const { return freshness_; }
     backend_directory& directory() { return directory_; }
@@ -115,7 +127,11 @@
     prompt_quarantine& quarantine() { return quarantine_; }
 
 private:
+    region_set
+    allowed_by(const std::optional<std::vector<std::string>>& names) const;
+
     windowed_retry_budget_settings retry_budget_settings_;
+    region_table regions_;
     double slack_share_;
     configuration_pointer configuration_;
     configuration_freshness freshness_;
--- a/src/version/gateway_configuration.cpp
+++ b/src/version/gateway_configuration.cpp
@@ -32,6 +32,7 @@
     }
     for (const auto& customer : data_.customers)
     {
+        customer_names_[customer.name] = &customer;
         for (const auto& key : customer.api_keys)
         {
             customers_[key] = &customer;
@@ -68,6 +69,12 @@
     return find_or_null(customers_, api_key);
 }
 
+const gateway_customer*
+gateway_configuration::find_customer_named(std::string_view name) const
+{
+    return find_or_null(customer_names_, name);
+}
+
 const gateway_service*
 gateway_configuration::find_service(std::string_view name) const
 {
--- a/src/version/gateway_configuration.hpp
+++ b/src/version/gateway_configuration.hpp
@@ -29,6 +29,8 @@
     std::string name;
     std::vector<std::string> api_keys;
     std::optional<std::uint32_t> priority; ///< overrides that of the route
+    /// Regions that its requests may be served in; nothing: all.
+    std::optional<std::vector<std::string>> allowed_regions;
 };
 
 /// Contents of one version of the gateway configuration.
@@ -62,6 +64,9 @@
     const gateway_route* find_route(std::string_view host,
                                     std::string_view path) const;
 
+    /// Returns the customer with this name, or null.
+    const gateway_customer* find_customer_named(std::string_view name) const;
+
     /// Returns the customer with this API key, or null.
     const gateway_customer* find_customer(std::string_view api_key) const;
 
@@ -78,6 +83,7 @@
     gateway_configuration_data data_;
     absl::flat_hash_map<std::string, const gateway_route*> routes_;
     absl::flat_hash_map<std::string, const gateway_customer*> customers_;
+    absl::flat_hash_map<std::string, const gateway_customer*> customer_names_;
     absl::flat_hash_map<std::string, const gateway_service*> services_;
 };
 
--- a/src/version/gateway_route.hpp
+++ b/src/version/gateway_route.hpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,8 @@
     std::uint32_t max_attempts = 1;
     std::vector<weighted_service> targets;
     std::vector<stage_definition> stages;
+    /// Regions that requests may be served in; nothing: all.
+    std::optional<std::vector<std::string>> allowed_regions;
 
     /// Returns whether a request that may have been executed can be retried.
     bool is_retryable() const
--- a/src/version/gateway_service.hpp
+++ b/src/version/gateway_service.hpp
@@ -28,6 +28,9 @@
     std::uint32_t max_connections = 1; ///< per server, from all callers
     std::uint32_t engine_slots = 0;    ///< 0: not a model engine
     std::optional<stage_pool_parameters> pool;
+    /// Requests a second that a server takes from all callers together while
+    /// it is cold; 0: no limit.
+    double cold_per_second = 0;
 };
 
 } // namespace mangolink
--- a/tests/unit/backend_directory_test.cpp
+++ b/tests/unit/backend_directory_test.cpp
@@ -230,7 +230,10 @@
     }
 
 private:
-    std::size_t usable() const { return directory_.servers("desk").size(); }
+    std::size_t usable() const
+    {
+        return directory_.servers("desk", region_set::all()).size();
+    }
 
     boot_clock::time_point now_{std::chrono::hours(1)};
     backend_directory directory_{expiry_time};
--- a/tests/unit/server_groups_test.cpp
+++ b/tests/unit/server_groups_test.cpp
@@ -58,8 +58,9 @@
             CPPUNIT_ASSERT_EQUAL(std::size_t(server->zone == "a" ? 7 : 4),
                                  groups.members(*server).size());
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t(11), groups.subset("encode").size());
-        CPPUNIT_ASSERT(groups.subset("other").empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(11),
+                             groups.subset("encode", region_set::all()).size());
+        CPPUNIT_ASSERT(groups.subset("other", region_set::all()).empty());
     }
 
     void a_large_pool_has_bounded_groups_and_subsets()
@@ -83,7 +84,8 @@
         section("a process chooses among some of each zone",
                 [&]
                 {
-                    const auto& subset = groups.subset("encode");
+                    const auto& subset =
+                        groups.subset("encode", region_set::all());
                     CPPUNIT_ASSERT_EQUAL(std::size_t(24),
                                          count_in_zone(subset, "a"));
                     CPPUNIT_ASSERT_EQUAL(std::size_t(8),
@@ -97,7 +99,8 @@
                     {
                         const auto other =
                             rebuilt("g" + std::to_string(i), pool);
-                        for (const auto& server : other.subset("encode"))
+                        for (const auto& server :
+                             other.subset("encode", region_set::all()))
                         {
                             ++users[server->id];
                         }
