Read how fast a server's shared machine is at the moment

Cause: servers on shared machines tell a fourth figure of their load, by which a load with four figures was unreadable and dropped.

Nothing decides by it yet.

--- a/src/connection/forward_protocol.hpp
+++ b/src/connection/forward_protocol.hpp
@@ -48,6 +48,9 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 1;
+    /// How long work takes at this moment on the machine that the server shares
+    /// with others, relative to the usual time; nothing: it does not tell.
+    std::optional<double> work_factor;
 };
 
 /// Metadata from the headers of a backend server's answer.
--- a/src/connection/stage_call_sender.cpp
+++ b/src/connection/stage_call_sender.cpp
@@ -75,7 +75,9 @@
         result.unconnected = connect_error == asio::error::timed_out;
         co_return result;
     }
-    result.shed = protocol_.read_answer(*answer).proven_not_run;
+    const auto metadata = protocol_.read_answer(*answer);
+    result.load = metadata.load;
+    result.shed = metadata.proven_not_run;
     result.answered = result.shed || !result.items.empty();
     co_return result;
 }
--- a/src/connection/stage_call_sender.hpp
+++ b/src/connection/stage_call_sender.hpp
@@ -2,11 +2,13 @@
 
 #include "base/clock.hpp"
 #include "connection/asio_types.hpp"
+#include "connection/forward_protocol.hpp"
 #include "request/send_permit.hpp"
 #include "request/stage_task.hpp"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace mangolink
@@ -14,7 +16,6 @@
 
 class backend_caller;
 class backend_exchange;
-class forward_protocol;
 struct backend_server;
 struct waiting_item;
 
@@ -25,6 +26,7 @@
     bool shed = false;
     bool unconnected = false; ///< the server accepted no connection in time
     std::vector<stage_item_answer> items;
+    std::optional<server_load> load; ///< told with the answer
 };
 
 /// Sends one call to a stage server. An overdue call is ended only when another
--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -360,6 +360,10 @@
                      : result.shed      ? call_outcome::shed
                                         : call_outcome::answered;
     entry.queue.call_ended(items.size(), reserved, duration, end, now);
+    if (result.load && result.load->work_factor)
+    {
+        entry.queue.record_work_factor(*result.load->work_factor);
+    }
     update_router(entry, server->id);
     log_call(entry, items.size(), duration, result);
     if (result.unconnected)
--- a/src/connection/task_message.cpp
+++ b/src/connection/task_message.cpp
@@ -141,6 +141,11 @@
     message.set_avoid_ms(
         static_cast<std::uint32_t>(load_report.ejected_for.count()));
     message.set_free_bytes(load_report.free_bytes);
+    if (load_report.work_factor)
+    {
+        message.set_work_permille(
+            static_cast<std::uint32_t>(*load_report.work_factor * permille));
+    }
 }
 
 server_load_report read_load_report(const wire::stage_load_report& message)
@@ -151,6 +156,10 @@
     load_report.slowdown = message.slowdown_permille() / permille;
     load_report.ejected_for = milliseconds(message.avoid_ms());
     load_report.free_bytes = message.free_bytes();
+    if (message.has_work_permille())
+    {
+        load_report.work_factor = message.work_permille() / permille;
+    }
     return load_report;
 }
 
--- a/src/request/stage_queue.cpp
+++ b/src/request/stage_queue.cpp
@@ -168,6 +168,7 @@
     report.ejected_for = std::max(
         milliseconds(0), duration_cast<milliseconds>(ejected_until_ - now));
     report.free_bytes = memory_.free(now);
+    report.work_factor = work_factor_;
     return report;
 }
 
--- a/src/request/stage_queue.hpp
+++ b/src/request/stage_queue.hpp
@@ -38,6 +38,9 @@
     double slowdown = 1; ///< smoothed ratio of measured to nominal call time
     milliseconds ejected_for{0};  ///< receives no calls for this long
     std::uint64_t free_bytes = 0; ///< of the memory for results
+    /// Time that work takes on the server's shared machine, relative to the
+    /// usual time, as last told; nothing: the server does not tell.
+    std::optional<double> work_factor = std::nullopt;
 };
 
 /// Batches the items of many requests into calls of one stage server.
@@ -82,6 +85,9 @@
     /// server is used instead.
     milliseconds call_timeout(std::size_t item_count) const;
 
+    /// Records what the server told of its shared machine.
+    void record_work_factor(double factor) { work_factor_ = factor; }
+
     server_load_report load_report(boot_clock::time_point now);
 
     result_memory& memory() { return memory_; }
@@ -98,6 +104,7 @@
     boot_clock::time_point busy_until_;
     boot_clock::time_point ejected_until_;
     double slowdown_ = 1;
+    std::optional<double> work_factor_;
 };
 
 } // namespace mangolink
--- a/src/roles/gateway_state.hpp
+++ b/src/roles/gateway_state.hpp
@@ -115,6 +115,11 @@
 
     const region_table& regions() const { return regions_; }
 
+    /// Returns whether backend servers share their machines with others, so
+    /// that their speed changes at any moment: one has told so.
+    bool has_shared_machines() const { return shared_machines_; }
+    void mark_shared_machines() { shared_machines_ = true; }
+
     configuration_freshness& freshness() { return freshness_; }
     const configuration_freshness& freshness() const { return freshness_; }
     backend_directory& directory() { return directory_; }
@@ -146,6 +151,7 @@
     prompt_quarantine quarantine_;
     absl::flat_hash_map<std::string, windowed_retry_budget> retry_budgets_;
     bool servers_listed_ = false;
+    bool shared_machines_ = false;
 };
 
 } // namespace mangolink
