Keep homes, evacuations and cold servers

Cause: no word of allowedRegions, op/evacuate/ZONE, coldPerS or coldRemainingMs was known.

Change: - The regions of routes and customers are read. An empty list, which the platform publishes for routes without homes, allows all; what is no list or names no region of the deployment allows none. - One watch follows the configuration and the evacuations (prefix op/). Readers relay evacuations with their position in the store; an older list changes nothing. After a return of the store from an older copy none ends before what was lost is written again. Servers of an evacuated zone leave the one view that all choices take their candidates from. - A cold server has a rate limit, shared like the limits that servers name, but without the demand and with smaller buckets (strict_share), as its bound holds for each second. A process that has just started sends it nothing for 2 s. Servers of a zone taken back are taken for cold until they would have told. - Work that can wait is preferred at cold servers.

--- a/src/connection/attempt_sender.cpp
+++ b/src/connection/attempt_sender.cpp
@@ -34,6 +34,10 @@
 /// counted as attempts.
 constexpr std::uint32_t max_misdirected_sends = 3;
 
+/// A request can wait if it has more than this many times the typical time to
+/// the first event.
+constexpr int first_events_to_spare = 5;
+
 /// A permit may become free earlier than expected.
 constexpr milliseconds permit_check_interval{50};
 
@@ -322,11 +326,18 @@
         {
             result.excluded.push_back(server->id);
         }
+        else if (context_.state.limits().is_cold_limited(*server, now))
+        {
+            result.cold.push_back(server->id);
+        }
         else if (context_.state.limits().limit_of(*server))
         {
             result.limited.push_back(server->id);
         }
     }
+    result.can_wait =
+        accepted_.arrival + accepted_.route->latency_objective - now >
+        expected_first_event_time * first_events_to_spare;
     result.bytes = request_.body().size();
     if (stages == nullptr)
     {
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -148,6 +148,14 @@
     metrics_.gauge(
         "mangolink_open_requests",
         [this] { return static_cast<double>(context_.open_requests.size()); });
+    metrics_.gauge(
+        "mangolink_evacuated_zones", [this]
+        { return static_cast<double>(state_.evacuations().all().size()); });
+    metrics_.gauge("mangolink_cold_servers",
+                   [this] {
+                       return static_cast<double>(
+                           state_.directory().cold(boot_clock::now()));
+                   });
     metrics_.gauge("mangolink_received_bytes",
                    [this] { return static_cast<double>(memory_.used()); });
     metrics_.gauge("mangolink_received_bytes_limit",
@@ -400,6 +408,15 @@
 {
     const auto now = boot_clock::now();
     const auto age = state_.freshness().age(now);
+    auto evacuated_zones = nlohmann::json::array();
+    for (const auto& [zone, evacuation] : state_.evacuations().all())
+    {
+        const auto known_for = std::chrono::duration_cast<milliseconds>(
+            now - evacuation.known_since);
+        evacuated_zones.push_back({{"zone", zone},
+                                   {"revision", evacuation.revision},
+                                   {"known_ms", known_for.count()}});
+    }
     nlohmann::json status{{"name", settings_.name},
                           {"ready", !context_.stopping && state_.ready(now)},
                           {"stopping", context_.stopping},
@@ -407,6 +424,8 @@
                           {"confirmed_ms_ago", age ? age->count() : -1},
                           {"reads_platform", reader_activation_.is_active()},
                           {"backend_servers", state_.directory().size()},
+                          {"evacuated_zones", evacuated_zones},
+                          {"cold_servers", state_.directory().cold(now)},
                           {"peers", peers_.size()},
                           {"quarantined_parts", prompts_.size()},
                           {"limited_servers", limits_.size()},
--- a/src/connection/update_follower.cpp
+++ b/src/connection/update_follower.cpp
@@ -125,7 +125,8 @@
 {
     const auto wait = state_.freshness().refresh_interval(max_response_wait);
     const update_request known{state_.configuration_version(),
-                               updater_.entries().digest(), wait};
+                               updater_.entries().digest(), wait,
+                               state_.evacuations().digest()};
     const auto sent_at = boot_clock::now();
     text_request request =
         peer_request(from, update_path, encode_update_request(known));
@@ -138,7 +139,8 @@
     {
         co_return false;
     }
-    const auto response = decode_update_response(reply->body());
+    const auto response =
+        decode_update_response(reply->body(), boot_clock::now());
     co_return response&& apply(*response, sent_at);
 }
 
@@ -176,6 +178,8 @@
         }
     }
     updater_.confirm_entries(valid_at - response.entries_age);
+    updater_.replace_evacuations(response.evacuations, response.evacuations_at,
+                                 now);
     const auto known = state_.configuration_version();
     if (response.configuration_version == known)
     {
--- a/src/connection/update_source.cpp
+++ b/src/connection/update_source.cpp
@@ -45,7 +45,8 @@
                                          now - arrival));
         if (remaining > milliseconds(0) &&
             known->configuration_version >= state_.configuration_version() &&
-            known->entries_digest == updater_.entries().digest())
+            known->entries_digest == updater_.entries().digest() &&
+            known->evacuations_digest == state_.evacuations().digest())
         {
             const auto wake =
                 std::make_shared<asio::steady_timer>(io_, remaining);
@@ -74,7 +75,12 @@
                 response.changes.push_back({entry.id, std::move(entry)});
             }
         }
-        co_return encode_update_response(response);
+        for (const auto& [zone, evacuation] : state_.evacuations().all())
+        {
+            response.evacuations.push_back(evacuation);
+        }
+        response.evacuations_at = state_.evacuations().position();
+        co_return encode_update_response(response, now);
     }
     co_return std::nullopt;
 }
--- a/src/process/backend_directory.cpp
+++ b/src/process/backend_directory.cpp
@@ -12,6 +12,10 @@
 /// Bounds the memory of a fleet that replaces its servers for months.
 constexpr std::size_t max_remembered = 10'000;
 
+/// Time after an evacuation in which a server that became cold has reported so:
+/// its report interval and the way of the report.
+constexpr milliseconds presumed_cold_time{2500};
+
 } // namespace
 
 backend_directory::backend_directory(milliseconds suspicion_timeout,
@@ -47,6 +51,11 @@
             change = directory_change::leaving;
         }
     }
+    const auto presumed = presumed_cold_.find(server.zone);
+    if (presumed != presumed_cold_.end())
+    {
+        server.cold_until = std::max(server.cold_until, presumed->second);
+    }
     directory_entry& stored = servers_[id];
     const bool changed =
         !stored.server || !stored.server->has_same_attributes(server);
@@ -172,6 +181,38 @@
     return expired;
 }
 
+void backend_directory::set_evacuated_zones(
+    absl::flat_hash_set<std::string> zones, boot_clock::time_point now)
+{
+    absl::erase_if(presumed_cold_,
+                   [now](const auto& pair) { return pair.second <= now; });
+    for (const auto& zone : evacuated_zones_)
+    {
+        if (!zones.contains(zone))
+        {
+            presumed_cold_[zone] = now + presumed_cold_time;
+        }
+    }
+    evacuated_zones_ = std::move(zones);
+    for (auto& [id, entry] : servers_)
+    {
+        const auto presumed = presumed_cold_.find(entry.server->zone);
+        if (presumed != presumed_cold_.end() &&
+            entry.server->cold_until < presumed->second)
+        {
+            auto cold = std::make_shared<backend_server>(*entry.server);
+            cold->cold_until = presumed->second;
+            entry.server = std::move(cold);
+        }
+    }
+    mark_changed();
+}
+
+bool backend_directory::accepts_work(const backend_server& server) const
+{
+    return !server.leaving && !evacuated_zones_.contains(server.zone);
+}
+
 const std::vector<backend_directory::server_pointer>&
 backend_directory::servers(std::string_view service, region_set regions) const
 {
@@ -189,7 +230,7 @@
 backend_directory::find(std::string_view id) const
 {
     const auto found = servers_.find(std::string(id));
-    if (found == servers_.end() || found->second.server->leaving)
+    if (found == servers_.end() || !accepts_work(*found->second.server))
     {
         return nullptr;
     }
@@ -207,6 +248,13 @@
     return result;
 }
 
+std::size_t backend_directory::cold(boot_clock::time_point now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        servers_.begin(), servers_.end(),
+        [now](const auto& pair) { return pair.second.server->is_cold(now); }));
+}
+
 backend_directory::server_pointer
 backend_directory::find_address(std::string_view address) const
 {
@@ -243,7 +291,7 @@
     by_address_.clear();
     for (const auto& [id, entry] : servers_)
     {
-        if (!entry.server->leaving)
+        if (accepts_work(*entry.server))
         {
             by_service[entry.server->service].push_back(entry.server);
             by_address_[entry.server->address.text()] = entry.server;
--- a/src/process/backend_directory.hpp
+++ b/src/process/backend_directory.hpp
@@ -5,6 +5,7 @@
 #include "process/server_groups.hpp"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <memory>
 #include <string>
@@ -28,7 +29,8 @@
 
 /// Table of the backend servers that may be used.
 ///
-/// A server whose entry is marked as leaving or was removed gets no new work.
+/// A server whose entry is marked as leaving or was removed gets no new work,
+/// nor do those of an evacuated zone.
 /// While the store is unavailable, entries of live servers expire. A server
 /// whose entry disappears shortly after such a disruption is therefore only
 /// suspected: it stays in use until its entry returns or `suspicion_timeout`
@@ -74,6 +76,15 @@
     /// Removes suspected servers whose timeout has passed; returns their ids.
     std::vector<std::string> expire(boot_clock::time_point now);
 
+    /// Replaces the zones whose servers get no new work. The servers of a zone
+    /// that is no longer among them are taken for cold for a short time, as
+    /// their entries may not tell yet.
+    void set_evacuated_zones(absl::flat_hash_set<std::string> zones,
+                             boot_clock::time_point now);
+
+    /// Returns whether a server accepts new work.
+    bool accepts_work(const backend_server& server) const;
+
     /// Returns the servers of a service in the regions that accept new work.
     const std::vector<server_pointer>& servers(std::string_view service,
                                                region_set regions) const;
@@ -92,6 +103,9 @@
 
     std::size_t size() const { return servers_.size(); }
 
+    /// Returns the number of servers that are cold.
+    std::size_t cold(boot_clock::time_point now) const;
+
     /// Returns a counter that increases with every change of usable servers.
     std::uint64_t version() const { return version_; }
 
@@ -126,6 +140,9 @@
         removed_; ///< last known entries
     /// Starts of the servers that were marked as leaving.
     absl::flat_hash_map<std::string, std::uint64_t> marked_leaving_;
+    absl::flat_hash_set<std::string> evacuated_zones_;
+    /// Until when the servers of a zone are taken for cold.
+    absl::flat_hash_map<std::string, boot_clock::time_point> presumed_cold_;
     std::uint64_t version_ = 0;
 };
 
--- a/src/process/backend_server.hpp
+++ b/src/process/backend_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.hpp"
 #include "base/hash.hpp"
 #include "base/socket_address.hpp"
 
@@ -20,10 +21,17 @@
     std::uint64_t started_ms = 0; ///< distinguishes starts with the same id
     std::uint64_t sequence = 0;   ///< increases with each report of one start
     bool leaving = false;
+    /// Until then the server is slow and takes few requests.
+    boot_clock::time_point cold_until{};
+    /// Distinguishes the cold periods of one start; 0: not cold. Differs
+    /// between processes that read the platform.
+    std::uint64_t cold_period = 0;
 
     /// Returns the hash of the id and the start, the same on every machine.
     std::uint64_t start_hash() const { return stable_hash(id, started_ms); }
 
+    bool is_cold(boot_clock::time_point now) const { return cold_until > now; }
+
     /// Returns whether this report is older than another one of the same id.
     bool older_than(const backend_server& other) const
     {
@@ -37,7 +45,8 @@
     {
         return service == other.service && address == other.address &&
                zone == other.zone && slots == other.slots &&
-               started_ms == other.started_ms && leaving == other.leaving;
+               started_ms == other.started_ms && leaving == other.leaving &&
+               cold_period == other.cold_period;
     }
 };
 
--- a/src/process/limit_shares.cpp
+++ b/src/process/limit_shares.cpp
@@ -10,10 +10,11 @@
 namespace
 {
 
-/// The sizes of all buckets for a server add up to this much: a constant and
-/// the requests of a part of a second.
+/// The sizes of all buckets for a server add up to this much and the requests
+/// of the burst time.
 constexpr double burst_tokens = 2;
-constexpr double burst_seconds = 0.5;
+constexpr milliseconds burst_time{500};
+constexpr milliseconds strict_burst_time{200};
 
 /// Smallest bucket. With fewer tokens, pauses between requests go unused.
 constexpr double min_bucket = 2;
@@ -36,9 +37,10 @@
 /// Part of a limit that a process other than the owner may use.
 constexpr double other_fraction = 0.25;
 
-double total_burst(double per_second)
+double total_burst(double per_second, milliseconds of_time)
 {
-    return burst_tokens + burst_seconds * per_second;
+    const std::chrono::duration<double> time = of_time;
+    return burst_tokens + time.count() * per_second;
 }
 
 } // namespace
@@ -120,7 +122,7 @@
 limit_share limit_shares::share(std::uint64_t server_start,
                                 std::uint64_t service, double per_second) const
 {
-    std::vector<std::pair<double, const std::string*>> ranks;
+    std::vector<rank> ranks;
     ranks.reserve(senders_.size());
     const bool any_demand = std::any_of(senders_.begin(), senders_.end(),
                                         [&](const auto& name)
@@ -134,7 +136,27 @@
                 weighted_rank(stable_hash(name, server_start), weight), &name);
         }
     }
-    const double burst = total_burst(per_second);
+    return part_of(std::move(ranks), per_second,
+                   total_burst(per_second, burst_time));
+}
+
+limit_share limit_shares::strict_share(std::uint64_t server_start,
+                                       double per_second) const
+{
+    std::vector<rank> ranks;
+    ranks.reserve(senders_.size());
+    for (const auto& name : senders_)
+    {
+        ranks.emplace_back(weighted_rank(stable_hash(name, server_start), 1),
+                           &name);
+    }
+    return part_of(std::move(ranks), per_second,
+                   total_burst(per_second, strict_burst_time));
+}
+
+limit_share limit_shares::part_of(std::vector<rank> ranks, double per_second,
+                                  double burst) const
+{
     const auto count = std::min(
         ranks.size(), static_cast<std::size_t>(std::floor(burst / min_bucket)));
     std::partial_sort(ranks.begin(),
@@ -154,7 +176,7 @@
 limit_share limit_shares::owner_share(bool owner, double per_second) const
 {
     const double rate = per_second * fraction_ * (owner ? 1 : other_fraction);
-    return {rate, owner ? total_burst(per_second) : 1};
+    return {rate, owner ? total_burst(per_second, burst_time) : 1};
 }
 
 double limit_shares::demand(const std::string& process,
--- a/src/process/limit_shares.hpp
+++ b/src/process/limit_shares.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace mangolink
@@ -53,6 +54,12 @@
     limit_share share(std::uint64_t server_start, std::uint64_t service,
                       double per_second) const;
 
+    /// Returns the own share of a limit that holds for each second. The buckets
+    /// are smaller, and the demand does not count: while it changes, processes
+    /// disagree about the shares.
+    limit_share strict_share(std::uint64_t server_start,
+                             double per_second) const;
+
     /// Returns the share for a server that only its owner sends to. Another
     /// process gets a small one, as the owner may be unresponsive.
     limit_share owner_share(bool owner, double per_second) const;
@@ -73,6 +80,12 @@
         demand_levels demand;
     };
 
+    /// Returns the own part of the limit among the senders with the highest
+    /// ranks, each with a bucket of its part of the burst.
+    using rank = std::pair<double, const std::string*>;
+    limit_share part_of(std::vector<rank> ranks, double per_second,
+                        double burst) const;
+
     /// Returns the request rate of a service at a process; 0: none.
     double demand(const std::string& process, std::uint64_t service) const;
     double usable_fraction(std::size_t alive, boot_clock::time_point now) const;
--- a/src/process/published_entries.cpp
+++ b/src/process/published_entries.cpp
@@ -17,10 +17,10 @@
 
 std::uint64_t digest_of(const backend_server& entry)
 {
-    return stable_hash(absl::StrCat(entry.id, "\n", entry.service, "\n",
-                                    entry.address.text(), "\n", entry.zone,
-                                    "\n", entry.slots, "\n", entry.started_ms,
-                                    "\n", static_cast<int>(entry.leaving)));
+    return stable_hash(absl::StrCat(
+        entry.id, "\n", entry.service, "\n", entry.address.text(), "\n",
+        entry.zone, "\n", entry.slots, "\n", entry.started_ms, "\n",
+        static_cast<int>(entry.leaving), "\n", entry.cold_period));
 }
 
 } // namespace
--- a/src/request/direct_balancer.cpp
+++ b/src/request/direct_balancer.cpp
@@ -45,6 +45,11 @@
 /// Benefit of a server with a rate limit, whose permits would be lost.
 constexpr double limited_gain_ms = 20;
 
+/// Additional time at a cold server, as a multiple of the expected one. Work
+/// that can wait warms it; other work uses it only if all else is overloaded.
+constexpr double cold_time_factor = 0.5;
+constexpr double cold_time_factor_urgent = 3;
+
 /// Servers whose costs differ by at most this much are considered equal.
 constexpr double equal_ms = 3;
 
@@ -127,6 +132,7 @@
 {
     pool_view view;
     view.limited.insert(preferences.limited.begin(), preferences.limited.end());
+    view.cold.insert(preferences.cold.begin(), preferences.cold.end());
     double total_ms = 0;
     double sample_count = 0;
     const auto rank = [&preferences](const backend_server& server)
@@ -253,6 +259,12 @@
                   preferences.shared_tokens;
     }
     result -= pool.limited.contains(server.id) ? limited_gain_ms : 0;
+    if (pool.cold.contains(server.id))
+    {
+        result +=
+            expected_ms *
+            (preferences.can_wait ? cold_time_factor : cold_time_factor_urgent);
+    }
     for (const auto& [zone, bytes] : preferences.bytes_in_zone)
     {
         result += zone == server.zone ? 0 : transfer_cost_ms(bytes);
--- a/src/request/direct_balancer.hpp
+++ b/src/request/direct_balancer.hpp
@@ -26,7 +26,9 @@
     std::vector<std::string> excluded; ///< ids of servers already tried
     /// Ids of servers with a rate limit that this process may use now.
     std::vector<std::string> limited;
-    std::size_t bytes = 0; ///< size of the request body
+    std::vector<std::string> cold; ///< ids of servers that are cold
+    bool can_wait = true;          ///< has time to spare for a slow server
+    std::size_t bytes = 0;         ///< size of the request body
 };
 
 /// Outcome of sending a request to a server, as far as it concerns the health
@@ -100,6 +102,7 @@
         double typical_ms = 0; ///< mean time to the first byte
         double mean_in_flight = 0;
         absl::flat_hash_set<absl::string_view> limited; ///< servers, by id
+        absl::flat_hash_set<absl::string_view> cold;    ///< servers, by id
         /// Servers preferred for the shared prefix, of the pool and of each
         /// zone. Rendezvous hashing makes all processes choose the same ones.
         const backend_server* affinity_server = nullptr;
--- a/src/request/server_rate_limiter.cpp
+++ b/src/request/server_rate_limiter.cpp
@@ -14,6 +14,13 @@
 /// its limit still holds.
 constexpr double min_per_second = 0.1;
 
+/// Part of the rate of a cold server that is used, as the processes may
+/// disagree about their number for a moment.
+constexpr double cold_usable_fraction = 0.85;
+
+/// Time from the start of a process until it has heard of the others.
+constexpr milliseconds settling_time{2000};
+
 /// A longer time without any call means that the process was suspended.
 constexpr milliseconds max_pause{1000};
 
@@ -41,8 +48,27 @@
 std::optional<double>
 server_rate_limiter::limit_of(const backend_server& server) const
 {
-    return table_.limited() == 0 ? std::nullopt
-                                 : table_.find(server.start_hash());
+    return limit_at(server, last_time_);
+}
+
+bool server_rate_limiter::is_cold_limited(const backend_server& server,
+                                          boot_clock::time_point now) const
+{
+    return server.is_cold(now) && cold_rates_.contains(server.service);
+}
+
+std::optional<double>
+server_rate_limiter::limit_at(const backend_server& server,
+                              boot_clock::time_point now) const
+{
+    const auto named =
+        table_.limited() == 0 ? std::nullopt : table_.find(server.start_hash());
+    if (!is_cold_limited(server, now))
+    {
+        return named;
+    }
+    const double cold = cold_rates_.at(server.service);
+    return std::min(named.value_or(cold), cold);
 }
 
 std::optional<send_permit>
@@ -97,10 +123,10 @@
                                              boot_clock::time_point now)
 {
     const auto* entry = find_entry(server, sender_role::chosen, now);
-    const std::chrono::duration<double> seconds = time;
+    const std::chrono::duration<double> duration = time;
     return entry == nullptr ? 0
                             : entry->bucket.tokens() +
-                                  entry->share.per_second * seconds.count();
+                                  entry->share.per_second * duration.count();
 }
 
 limit_share server_rate_limiter::share_of(const backend_server& server,
@@ -119,8 +145,9 @@
     shares_.set_demand(self_, demand_.current());
     shares_.update(alive, now);
     table_.expire(now);
-    absl::erase_if(entries_, [this](const auto& pair)
-                   { return !table_.find(pair.first); });
+    absl::erase_if(
+        entries_, [this, now](const auto& pair)
+        { return !table_.find(pair.first) && pair.second.cold_until <= now; });
 }
 
 server_rate_limiter::server_entry*
@@ -128,27 +155,30 @@
                                 boot_clock::time_point now)
 {
     check_time(now);
-    if (table_.limited() == 0)
-    {
-        return nullptr;
-    }
-    const auto start = server.start_hash();
-    const auto limit = table_.find(start);
+    const auto limit = limit_at(server, now);
     if (!limit)
     {
         return nullptr;
     }
+    const auto start = server.start_hash();
     const double per_second = std::max(*limit, min_per_second);
     const auto [found, added] =
-        entries_.try_emplace(start, server_entry{token_bucket(0, now), {}});
+        entries_.try_emplace(start, server_entry{token_bucket(0, now)});
     server_entry& entry = found->second;
+    entry.cold_until = server.cold_until;
     entry.bucket.fill(entry.share.per_second, entry.share.burst, now);
+    const bool settled = now >= *first_time_ + settling_time;
     if (added || entry.per_second != per_second || entry.role != role ||
-        entry.shares_version != shares_.version())
+        entry.settled != settled || entry.shares_version != shares_.version())
     {
-        entry.share = make_share(server, role, per_second);
+        entry.share =
+            !is_cold_limited(server, now) ? make_share(server, role, per_second)
+            : settled
+                ? shares_.strict_share(start, per_second * cold_usable_fraction)
+                : limit_share{};
         entry.per_second = per_second;
         entry.role = role;
+        entry.settled = settled;
         entry.shares_version = shares_.version();
         entry.bucket.fill(0, entry.share.burst, now); // may be smaller now
     }
@@ -167,6 +197,7 @@
 
 void server_rate_limiter::check_time(boot_clock::time_point now)
 {
+    first_time_ = first_time_.value_or(now);
     if (now - last_time_ > max_pause)
     {
         for (auto& [start, entry] : entries_)
--- a/src/request/server_rate_limiter.hpp
+++ b/src/request/server_rate_limiter.hpp
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace mangolink
 {
@@ -26,7 +27,7 @@
 };
 
 /// Limits the requests that this process sends to servers which name a rate
-/// limit, so that all processes together stay below it.
+/// limit, or that are cold, so that all processes together stay below it.
 ///
 /// Each send needs a permit. Not thread-safe; must outlive its permits.
 class server_rate_limiter final
@@ -44,7 +45,20 @@
     /// Adds what another process knows.
     server_limit_change merge(const server_limit_news& news);
 
-    /// Returns the limit that a server named, or nothing.
+    /// Requests a second that a cold server takes, by service.
+    using cold_rates = absl::flat_hash_map<std::string, double>;
+
+    /// Replaces the rates of cold servers; those of other services have none. A
+    /// process that has just started sends cold servers nothing, as it does not
+    /// know yet with how many others it shares their rates.
+    void set_cold_rates(cold_rates rates) { cold_rates_ = std::move(rates); }
+
+    /// Returns whether a server is cold and its service has a rate for that.
+    bool is_cold_limited(const backend_server& server,
+                         boot_clock::time_point now) const;
+
+    /// Returns the limit of a server at the last call with a time: the one that
+    /// it named, or the one of a cold server if that is lower. Nothing: none.
     std::optional<double> limit_of(const backend_server& server) const;
 
     /// Takes a permit. Returns nothing if there is none now.
@@ -85,12 +99,17 @@
     struct server_entry final
     {
         token_bucket bucket;
-        limit_share share;
+        limit_share share{};
         double per_second = 0;
+        boot_clock::time_point cold_until{}; ///< of the server
+        bool settled = false;
         std::uint64_t shares_version = 0;
         sender_role role = sender_role::chosen;
     };
 
+    std::optional<double> limit_at(const backend_server& server,
+                                   boot_clock::time_point now) const;
+
     /// Returns the up-to-date entry of a limited server, or null.
     server_entry* find_entry(const backend_server& server, sender_role role,
                              boot_clock::time_point now);
@@ -105,7 +124,9 @@
     limit_shares shares_;
     demand_meter demand_;
     absl::flat_hash_map<std::uint64_t, server_entry> entries_; ///< by start
+    cold_rates cold_rates_;
     boot_clock::time_point last_time_;
+    std::optional<boot_clock::time_point> first_time_; ///< of any call
 };
 
 } // namespace mangolink
--- a/src/roles/gateway_state.cpp
+++ b/src/roles/gateway_state.cpp
@@ -54,6 +54,15 @@
         return false;
     }
     configuration_ = std::move(next);
+    server_rate_limiter::cold_rates rates;
+    for (const auto& service : configuration_->services())
+    {
+        if (service.cold_per_second > 0)
+        {
+            rates.emplace(service.name, service.cold_per_second);
+        }
+    }
+    limits_.set_cold_rates(std::move(rates));
     return true;
 }
 
--- a/src/roles/gateway_state.hpp
+++ b/src/roles/gateway_state.hpp
@@ -4,6 +4,7 @@
 #include "process/backend_directory.hpp"
 #include "process/region_table.hpp"
 #include "process/server_holds.hpp"
+#include "process/zone_evacuations.hpp"
 #include "request/direct_balancer.hpp"
 #include "request/prompt_quarantine.hpp"
 #include "request/retry_schedule.hpp"
@@ -124,6 +125,8 @@
     const configuration_freshness& freshness() const { return freshness_; }
     backend_directory& directory() { return directory_; }
     const backend_directory& directory() const { return directory_; }
+    zone_evacuations& evacuations() { return evacuations_; }
+    const zone_evacuations& evacuations() const { return evacuations_; }
     server_holds& holds() { return holds_; }
     server_rate_limiter& limits() { return limits_; }
     const server_rate_limiter& limits() const { return limits_; }
@@ -141,6 +144,7 @@
     configuration_pointer configuration_;
     configuration_freshness freshness_;
     backend_directory directory_;
+    zone_evacuations evacuations_;
     server_holds holds_;
     server_rate_limiter limits_;
     absl::flat_hash_map<std::string, retry_schedule>
--- a/src/roles/gateway_state_updater.cpp
+++ b/src/roles/gateway_state_updater.cpp
@@ -16,6 +16,10 @@
 /// and the time in which the servers register again.
 constexpr milliseconds disruption_grace_period{3500};
 
+/// Reports of one cold period differ by less than this, as they arrive with
+/// varying delay.
+constexpr milliseconds cold_end_tolerance{1000};
+
 } // namespace
 
 gateway_state_updater::gateway_state_updater(
@@ -115,6 +119,7 @@
     {
         if (!directory.is_outdated(server))
         {
+            number_cold_period(server);
             current.push_back(std::move(server));
         }
         else if (const auto known = directory.known(server.id))
@@ -129,6 +134,10 @@
     std::vector<backend_server> servers, boot_clock::time_point now)
 {
     entries_.replace_all(servers);
+    for (const auto& server : servers)
+    {
+        report_cold(server);
+    }
     const std::size_t count = servers.size();
     const bool disrupted = store_disrupted(now);
     const auto previous = state_.directory().version();
@@ -159,6 +168,7 @@
         log_change(server, directory_change::outdated, "published");
         return;
     }
+    number_cold_period(server);
     put_relayed(std::move(server));
 }
 
@@ -166,6 +176,7 @@
 {
     const backend_server entry = server;
     entries_.put(entry);
+    report_cold(entry);
     const auto change = state_.directory().put(std::move(server));
     if (change == directory_change::none)
     {
@@ -194,6 +205,92 @@
     }
 }
 
+void gateway_state_updater::evacuate_zone(const std::string& zone,
+                                          std::uint64_t revision,
+                                          boot_clock::time_point now)
+{
+    apply(state_.evacuations().begin(zone, revision, now), now);
+}
+
+void gateway_state_updater::take_back_zone(const std::string& zone,
+                                           boot_clock::time_point now)
+{
+    apply(state_.evacuations().end(zone), now);
+}
+
+void gateway_state_updater::replace_evacuations(
+    const std::vector<zone_evacuation>& evacuations, store_position at,
+    boot_clock::time_point now)
+{
+    apply(state_.evacuations().replace(evacuations, at, now), now);
+}
+
+void gateway_state_updater::add_evacuations(
+    const std::vector<zone_evacuation>& evacuations, boot_clock::time_point now)
+{
+    apply(state_.evacuations().add(evacuations, now), now);
+}
+
+void gateway_state_updater::confirm_evacuations(store_position at)
+{
+    state_.evacuations().confirm(at);
+}
+
+void gateway_state_updater::apply(const evacuation_changes& changes,
+                                  boot_clock::time_point now)
+{
+    if (changes.empty())
+    {
+        return;
+    }
+    for (const auto& evacuation : changes.begun)
+    {
+        log_notice("directory", "Zone is evacuated.",
+                   {{"zone", evacuation.zone},
+                    {"revision", std::to_string(evacuation.revision)}});
+    }
+    for (const auto& evacuation : changes.ended)
+    {
+        const auto lasted = std::chrono::duration_cast<milliseconds>(
+            now - evacuation.known_since);
+        log_notice("directory", "Zone is taken back.",
+                   {{"zone", evacuation.zone},
+                    {"revision", std::to_string(evacuation.revision)},
+                    {"evacuated_ms", std::to_string(lasted.count())}});
+    }
+    state_.directory().set_evacuated_zones(state_.evacuations().zones(), now);
+    on_changed_();
+}
+
+void gateway_state_updater::report_cold(const backend_server& entry) const
+{
+    const auto known = state_.directory().known(entry.id);
+    if (entry.cold_period != 0 &&
+        (!known || known->cold_period != entry.cold_period))
+    {
+        log_notice("directory", "Server is cold.",
+                   {{"server", entry.id},
+                    {"service", entry.service},
+                    {"zone", entry.zone},
+                    {"period", std::to_string(entry.cold_period)}});
+    }
+}
+
+void gateway_state_updater::number_cold_period(backend_server& server) const
+{
+    if (server.cold_until == boot_clock::time_point{})
+    {
+        return;
+    }
+    const auto known = state_.directory().known(server.id);
+    const bool same_period =
+        known && known->started_ms == server.started_ms &&
+        known->cold_period != 0 &&
+        std::chrono::abs(known->cold_until - server.cold_until) <=
+            cold_end_tolerance;
+    server.cold_period = same_period ? known->cold_period : server.sequence + 1;
+}
+
 void gateway_state_updater::server_leaves(const backend_server& server)
 {
     const auto change = state_.directory().mark_leaving(server);
--- a/src/roles/gateway_state_updater.hpp
+++ b/src/roles/gateway_state_updater.hpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 #include "process/backend_server.hpp"
 #include "process/published_entries.hpp"
+#include "process/zone_evacuations.hpp"
 #include "version/gateway_configuration.hpp"
 
 #include <functional>
@@ -83,6 +84,24 @@
     /// Removes the entry of one server.
     void remove_server(const std::string& id, boot_clock::time_point now);
 
+    /// Apply requests of the operators, read from the store: that a zone is
+    /// evacuated, and that it is taken back.
+    void evacuate_zone(const std::string& zone, std::uint64_t revision,
+                       boot_clock::time_point now);
+    void take_back_zone(const std::string& zone, boot_clock::time_point now);
+
+    /// Replaces the evacuations by a list from the store or from another
+    /// process, unless the one in force is newer.
+    void replace_evacuations(const std::vector<zone_evacuation>& evacuations,
+                             store_position at, boot_clock::time_point now);
+
+    /// Adds evacuations of a list that may lack some.
+    void add_evacuations(const std::vector<zone_evacuation>& evacuations,
+                         boot_clock::time_point now);
+
+    /// Confirms that all evacuations up to this position have been applied.
+    void confirm_evacuations(store_position at);
+
     /// Records that this start of a server stated in an answer that it leaves.
     void server_leaves(const backend_server& server);
 
@@ -105,6 +124,11 @@
 
 private:
     bool store_disrupted(boot_clock::time_point now) const;
+    /// Logs that a server has become cold, before its entry is applied.
+    void report_cold(const backend_server& entry) const;
+    /// Numbers the cold period of an entry that was read from the store.
+    void number_cold_period(backend_server& server) const;
+    void apply(const evacuation_changes& changes, boot_clock::time_point now);
     void log_change(const backend_server& server, directory_change change,
                     std::string_view source);
     void report_removed(const std::string& id, std::string_view cause);
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -133,12 +133,12 @@
         };
         const auto refused = [](const std::string& text)
         {
-            CPPUNIT_ASSERT_THROW(platform::read_server("id", text),
+            CPPUNIT_ASSERT_THROW(platform::read_server("id", text, {}),
                                  std::invalid_argument);
         };
         const std::string address = "127.0.0.1:9";
         const auto sound =
-            platform::read_server("id", entry(address, "\"sequence\":1"));
+            platform::read_server("id", entry(address, "\"sequence\":1"), {});
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), sound.sequence);
         section(
             "numbers out of range",
@@ -197,7 +197,7 @@
                                            std::string(depth, ']'));
                     CPPUNIT_ASSERT_EQUAL(
                         std::string("desk"),
-                        platform::read_server("id", nested).service);
+                        platform::read_server("id", nested, {}).service);
                 });
     }
 
@@ -370,7 +370,7 @@
         bool any = !protocol_.read_stage_answer(text, 2).empty();
         try
         {
-            platform::read_server("id", text);
+            platform::read_server("id", text, {});
             any = true;
         }
         catch (const std::invalid_argument&)
--- a/tests/support/test_cluster.cpp
+++ b/tests/support/test_cluster.cpp
@@ -47,7 +47,8 @@
         << readiness().text() << "\"\noperators = \"" << operators().text()
         << "\"\npeers = \"" << peers() << "\"\nseeds = [" << list
         << "]\nstop_limit_ms = 4000\n"
-        << "[platform]\nstore = \"" << store << "\"\nzones = [\"z1=r1\"]\n"
+        << "[platform]\nstore = \"" << store
+        << "\"\nzones = [\"z1=r1\", \"z2=r2\"]\n"
         << "[keys]\nrevocation_limit_ms = 3000\n"
         << "[retries]\nratio = 0.2\nslack = 400\n"
         << "[instance]\nname = \"" << name << "\"\nzone = \"z1\"\n"
@@ -161,11 +162,11 @@
     registration& server_entry = registrations_[id];
     const json value{{"service", server_entry.service},
                      {"address", server_entry.address},
-                     {"zone", "z1"},
+                     {"zone", server_entry.zone},
                      {"version", "v1"},
                      {"slots", 8},
                      {"state", state},
-                     {"coldRemainingMs", 0},
+                     {"coldRemainingMs", server_entry.cold.count()},
                      {"born", server_entry.started_ms},
                      {"sequence", ++server_entry.sequence}};
     put("servers/" + id, value.dump());
@@ -178,6 +179,32 @@
     register_server(id, "ready");
 }
 
+void test_cluster::set_zone(const std::string& id, const std::string& zone)
+{
+    registrations_[id].zone = zone;
+    register_server(id, "ready");
+}
+
+void test_cluster::set_cold(const std::string& id, milliseconds remaining)
+{
+    registrations_[id].cold = remaining;
+    register_server(id, "ready");
+}
+
+void test_cluster::evacuate(const std::string& zone)
+{
+    put("op/evacuate/" + zone, "{}");
+}
+
+void test_cluster::take_back(const std::string& zone)
+{
+    store_.remove("op/evacuate/" + zone);
+    for (const auto& other : extra_stores_)
+    {
+        other->remove("op/evacuate/" + zone);
+    }
+}
+
 void test_cluster::set_service(const std::string& id,
                                const std::string& service)
 {
--- a/tests/support/test_cluster.hpp
+++ b/tests/support/test_cluster.hpp
@@ -108,6 +108,17 @@
     /// Registers a server under another address, such as that of a proxy.
     void set_address(const std::string& id, const std::string& address);
 
+    /// Registers a server in another zone. Gateways are in zone z1 of region
+    /// r1; zone z2 is in region r2.
+    void set_zone(const std::string& id, const std::string& zone);
+
+    /// Registers a server as cold for a time; 0: not cold.
+    void set_cold(const std::string& id, milliseconds remaining);
+
+    /// Requests that a zone gets no new work, and takes it back.
+    void evacuate(const std::string& zone);
+    void take_back(const std::string& zone);
+
     /// Registers a server as one of another service.
     void set_service(const std::string& id, const std::string& service);
 
@@ -139,6 +150,8 @@
         std::string address;
         unsigned sequence = 0;
         std::uint64_t started_ms = 1'000'000;
+        std::string zone = "z1";
+        milliseconds cold{0};
     };
 
     void put(const std::string& key, const std::string& value);
--- a/tests/unit/limited_fleet.cpp
+++ b/tests/unit/limited_fleet.cpp
@@ -25,6 +25,28 @@
 constexpr milliseconds contact_time{4000};
 constexpr milliseconds window{4000};
 
+/// A cold server takes this many requests in a second.
+double cold_allowance(double limit)
+{
+    return 1.5 * limit + 5;
+}
+
+/// Returns the highest number of times within a second.
+std::size_t busiest_second(const std::vector<time_point>& times)
+{
+    std::size_t busiest = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < times.size(); ++last)
+    {
+        while (times[first] <= times[last] - seconds(1))
+        {
+            ++first;
+        }
+        busiest = std::max(busiest, last - first + 1);
+    }
+    return busiest;
+}
+
 /// Gateways that share the limits of servers and exchange heartbeats.
 class simulated_fleet final
 {
@@ -80,6 +102,7 @@
         time_point next_heartbeat;
         time_point next_update;
         std::uint64_t heartbeats = 0;
+        milliseconds news_delay{0}; ///< of the platform
         bool paused = false;
     };
     struct pending_answer final
@@ -91,6 +114,20 @@
         double limit = 0;
     };
 
+    bool is_cold() const { return settings_.cold_news_delay != never; }
+
+    /// Returns a server as a gateway knows it.
+    backend_server known(std::size_t server, const gateway& by) const
+    {
+        auto result = servers_[server];
+        if (is_cold() && server < settings_.limited_servers &&
+            now_ - begin_ >= by.news_delay)
+        {
+            result.cold_until = begin_ + settings_.duration;
+        }
+        return result;
+    }
+
     static std::string name(std::size_t index)
     {
         return absl::StrCat("gateway-", index);
@@ -111,6 +148,12 @@
     {
         auto& each = *gateways_[index];
         each.limiter = std::make_unique<server_rate_limiter>(name(index));
+        if (is_cold())
+        {
+            each.limiter->set_cold_rates({{"engine", settings_.limit}});
+            each.news_delay = settings_.cold_news_delay *
+                              static_cast<int>(random_() % 100) / 100;
+        }
         each.heard.assign(settings_.gateways, time_point());
         each.next_heartbeat = now_ + tick * static_cast<int>(random_() % 30);
     }
@@ -131,7 +174,7 @@
 
     double limit_now(std::size_t server) const
     {
-        if (server >= settings_.limited_servers ||
+        if (is_cold() || server >= settings_.limited_servers ||
             now_ - begin_ >= settings_.lifted)
         {
             return no_rate_limit;
@@ -156,7 +199,8 @@
         std::vector<std::size_t> usable;
         for (std::size_t i = 0; i < servers_.size(); ++i)
         {
-            if (each.limiter->may_send(servers_[i], sender_role::chosen, now_))
+            if (each.limiter->may_send(known(i, each), sender_role::chosen,
+                                       now_))
             {
                 usable.push_back(i);
             }
@@ -165,15 +209,15 @@
         std::copy_if(
             usable.begin(), usable.end(), std::back_inserter(preferred),
             [this](std::size_t i) { return i < settings_.limited_servers; });
-        usable = preferred.empty() ? usable : preferred;
+        usable = preferred.empty() || is_cold() ? usable : preferred;
         if (usable.empty())
         {
             ++refused_;
             return;
         }
         const auto server = usable[random_() % usable.size()];
-        auto permit =
-            each.limiter->acquire(servers_[server], sender_role::chosen, now_);
+        auto permit = each.limiter->acquire(known(server, each),
+                                            sender_role::chosen, now_);
         CPPUNIT_ASSERT(permit);
         permit->use();
         sends_[server].push_back(now_);
@@ -187,7 +231,8 @@
         {
             const auto answer = answers_.front();
             answers_.pop_front();
-            first_named_ = std::min(first_named_, answer.sent);
+            first_named_ =
+                std::min(first_named_, is_cold() ? begin_ : answer.sent);
             gateways_[answer.gateway]->limiter->record_answer(
                 servers_[answer.server], answer.limit, answer.sent, now_);
         }
@@ -259,6 +304,10 @@
         const auto from = first_named_ + contact_time;
         for (std::size_t i = 0; i < settings_.limited_servers; ++i)
         {
+            total.worst_second =
+                std::max(total.worst_second,
+                         static_cast<double>(busiest_second(sends_[i])) /
+                             cold_allowance(settings_.limit));
             std::deque<time_point> inside;
             for (const auto at : sends_[i])
             {
--- a/tests/unit/limited_fleet.hpp
+++ b/tests/unit/limited_fleet.hpp
@@ -23,6 +23,9 @@
     bool idle_periods = false; ///< 14 s of each 20 s without requests
     double lost_heartbeats = 0.1;
     milliseconds duration{30'000};
+    /// The limits are those of cold servers, which the platform tells to each
+    /// gateway within this time; no answer names them. never: named limits.
+    milliseconds cold_news_delay = never;
     milliseconds lifted = never;    ///< when the limits end
     milliseconds lowered = never;   ///< when they are halved
     milliseconds cut_begin = never; ///< of the fleet in halves
@@ -35,6 +38,7 @@
 {
     double worst = 0; ///< count in a window, as a multiple of what is allowed
     double used = 0;  ///< share of the limits, after the contact time
+    double worst_second = 0; ///< as a multiple of what a cold server takes
     std::size_t refused = 0;
     std::size_t sent_after_lift = 0; ///< from a second after it
 };
--- a/tests/unit/published_entries_test.cpp
+++ b/tests/unit/published_entries_test.cpp
@@ -104,15 +104,22 @@
         answer.configuration_version = 9;
         answer.entries_age = milliseconds(400);
         answer.failure_age = milliseconds(0);
-        answer.changes = {{"s1", make_entry("s1", 5)}, {"s2", std::nullopt}};
+        auto cold = make_entry("s1", 5);
+        cold.cold_period = 4;
+        cold.cold_until = now_ + milliseconds(900);
+        answer.changes = {{"s1", cold}, {"s2", std::nullopt}};
+        answer.evacuations = {{"z1", 12}};
+        answer.evacuations_at = {2, 40};
         const auto read =
-            decode_update_response(encode_update_response(answer));
+            decode_update_response(encode_update_response(answer, now_), now_);
         CPPUNIT_ASSERT(read);
         CPPUNIT_ASSERT(read->held == answer.held);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), read->configuration_version);
         CPPUNIT_ASSERT(read->failure_age == answer.failure_age);
-        CPPUNIT_ASSERT(
-            read->changes[0].entry->has_same_attributes(make_entry("s1", 5)));
+        CPPUNIT_ASSERT(read->changes[0].entry->has_same_attributes(cold));
+        CPPUNIT_ASSERT(read->changes[0].entry->cold_until == cold.cold_until);
+        CPPUNIT_ASSERT_EQUAL(std::string("z1"), read->evacuations[0].zone);
+        CPPUNIT_ASSERT(read->evacuations_at == answer.evacuations_at);
         CPPUNIT_ASSERT(!read->changes[1].entry);
     }
 
@@ -120,14 +127,14 @@
     {
         update_response answer;
         answer.changes = {{"s1", make_entry("s1", 5)}};
-        const std::string valid_message = encode_update_response(answer);
+        const std::string valid_message = encode_update_response(answer, now_);
         section("a snapshot without the entry of a server is rejected",
-                [answer]() mutable
+                [this, answer]() mutable
                 {
                     answer.is_snapshot = true;
                     answer.changes.push_back({"s2", std::nullopt});
                     CPPUNIT_ASSERT(!decode_update_response(
-                        encode_update_response(answer)));
+                        encode_update_response(answer, now_), now_));
                 });
         std::mt19937 random(7);
         for (int i = 0; i < 2000; ++i)
@@ -135,7 +142,7 @@
             std::string bytes = valid_message;
             bytes[random() % bytes.size()] = static_cast<char>(random());
             bytes.resize(1 + random() % bytes.size());
-            const auto read = decode_update_response(bytes);
+            const auto read = decode_update_response(bytes, now_);
             for (const auto& change :
                  read ? read->changes : std::vector<entry_change>())
             {
@@ -243,6 +250,9 @@
             CPPUNIT_ASSERT_EQUAL(size < 24 ? 1 : 3, readers);
         }
     }
+
+private:
+    const boot_clock::time_point now_{std::chrono::hours(1)};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(published_entries_test);
--- a/tests/unit/server_rate_limiter_test.cpp
+++ b/tests/unit/server_rate_limiter_test.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(a_grown_fleet_uses_what_servers_take);
     CPPUNIT_TEST(cuts_restarts_and_pauses_exceed_no_limit);
     CPPUNIT_TEST(a_limit_that_falls_or_ends_takes_effect_soon);
+    CPPUNIT_TEST(a_fleet_sends_a_cold_server_what_it_takes);
+    CPPUNIT_TEST(a_server_that_is_warm_again_has_no_limit);
     CPPUNIT_TEST(an_answer_that_overtakes_ends_no_limit);
     CPPUNIT_TEST(a_limit_belongs_to_one_start_of_a_server);
     CPPUNIT_TEST(a_server_that_takes_nothing_is_asked_rarely);
@@ -108,6 +110,97 @@
                 });
     }
 
+    void a_fleet_sends_a_cold_server_what_it_takes()
+    {
+        for (const std::size_t gateways : {4, 23, 100})
+        {
+            auto fleet = cold_fleet(gateways);
+            const auto assert_cold_kept = [&fleet, gateways]
+            {
+                const auto result = play(fleet);
+                CPPUNIT_ASSERT_MESSAGE(
+                    absl::StrCat(gateways, " gateways: ", result.worst_second),
+                    result.worst_second <= 1);
+                return result;
+            };
+            section("all servers cold, all gateways told at once",
+                    [&]
+                    {
+                        const auto result = assert_cold_kept();
+                        CPPUNIT_ASSERT(result.refused > 0);
+                        CPPUNIT_ASSERT_MESSAGE(
+                            absl::StrCat(gateways, " use ", result.used),
+                            result.used >= 0.8);
+                    });
+            section("half of the gateways restarted",
+                    [&]
+                    {
+                        fleet.restarted = seconds(5);
+                        assert_cold_kept();
+                    });
+            fleet = cold_fleet(gateways);
+            section("cut in halves",
+                    [&]
+                    {
+                        fleet.cut_begin = seconds(4);
+                        fleet.cut_end = seconds(8);
+                        assert_cold_kept();
+                    });
+            fleet = cold_fleet(gateways);
+            section("at ordinary load, told within two seconds",
+                    [&]
+                    {
+                        fleet.offered = 0.4;
+                        fleet.cold_news_delay = seconds(2);
+                        assert_cold_kept();
+                    });
+        }
+    }
+
+    void a_server_that_is_warm_again_has_no_limit()
+    {
+        server_rate_limiter limiter("g");
+        limiter.set_cold_rates({{"engine", 2}});
+        auto server = make_server(1);
+        server.service = "engine";
+        server.cold_until = now_ + seconds(8);
+        const auto sent_at = [&](time_point at)
+        {
+            int sent = 0;
+            while (sent < 100)
+            {
+                auto permit = limiter.acquire(server, sender_role::chosen, at);
+                if (!permit)
+                {
+                    break;
+                }
+                permit->use();
+                ++sent;
+            }
+            return sent;
+        };
+        section("cold: nothing at first, then the burst and no more",
+                [&]
+                {
+                    CPPUNIT_ASSERT_EQUAL(0, sent_at(now_));
+                    limiter.update({{"g"}}, now_ + seconds(2));
+                    CPPUNIT_ASSERT_EQUAL(0, sent_at(now_ + seconds(2)));
+                    const int sent = sent_at(now_ + seconds(3));
+                    CPPUNIT_ASSERT(sent >= 1 && sent <= 3);
+                });
+        section("a cold server of a service without a rate has no limit",
+                [&]
+                {
+                    auto other = server;
+                    other.service = "desk";
+                    CPPUNIT_ASSERT(limiter.may_send(other, sender_role::chosen,
+                                                    now_ + seconds(1)));
+                    CPPUNIT_ASSERT(!limiter.limit_of(other));
+                });
+        section("warm: all",
+                [&] { CPPUNIT_ASSERT_EQUAL(100, sent_at(now_ + seconds(9))); });
+    }
+
     void an_answer_that_overtakes_ends_no_limit()
     {
         server_rate_limiter limiter("g");
@@ -295,6 +388,16 @@
         return fleet;
     }
 
+    /// Cold servers that are asked for three times what they take.
+    static fleet_settings cold_fleet(std::size_t gateways)
+    {
+        auto fleet = grown_fleet(gateways);
+        fleet.limit = 17;
+        fleet.cold_news_delay = milliseconds(0);
+        fleet.duration = seconds(10);
+        return fleet;
+    }
+
     static void assert_kept(const fleet_settings& fleet, double min_used = 0.8)
     {
         const auto result = play(fleet);
