Show operators where work may run; let the soak play it

Cause: operators could not see which zones are evacuated, which servers are cold and with which share here, and which regions bind a route.

Change: /placement on the operators' address, mangolink-ctl evacuations, cold and regions. The soak evacuates a zone, cools servers and binds a route to a region, and checks what reached the servers.

--- a/src/connection/control_client.cpp
+++ b/src/connection/control_client.cpp
@@ -58,6 +58,12 @@
                   "parts of prompts that a gateway refuses"},
     command_entry{"limits", "", "GET", "/limits", "servers",
                   "rate limits that servers named to gateways"},
+    command_entry{"evacuations", "", "GET", "/placement", "evacuated_zones",
+                  "zones whose servers get no new work from a gateway"},
+    command_entry{"cold", "", "GET", "/placement", "cold_servers",
+                  "cold servers and a gateway's share of their rates"},
+    command_entry{"regions", "", "GET", "/placement", "allowed_regions",
+                  "regions that bind routes and customers"},
     command_entry{"metrics", "", "GET", "/metrics", "", "text page of metrics"},
 };
 
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -10,6 +10,7 @@
 #include "connection/listening_socket.hpp"
 #include "connection/peer_heartbeats.hpp"
 #include "connection/peer_server.hpp"
+#include "connection/placement_page.hpp"
 #include "connection/service_task.hpp"
 #include "connection/update_follower.hpp"
 #include "process/memory_account.hpp"
@@ -373,8 +374,7 @@
             11};
 }
 
-text_response
-gateway_server::operators_response(const text_request& request) const
+text_response gateway_server::operators_response(const text_request& request)
 {
     text_response response(http::status::ok, 11);
     if (request.target() == "/metrics")
@@ -392,6 +392,11 @@
         response.set(http::field::content_type, "application/json");
         response.body() = prompts_.status_text();
     }
+    else if (request.target() == "/placement")
+    {
+        response.set(http::field::content_type, "application/json");
+        response.body() = placement_page(state_, boot_clock::now());
+    }
     else if (request.target() == "/limits")
     {
         response.set(http::field::content_type, "application/json");
@@ -408,29 +413,21 @@
 {
     const auto now = boot_clock::now();
     const auto age = state_.freshness().age(now);
-    auto evacuated_zones = nlohmann::json::array();
-    for (const auto& [zone, evacuation] : state_.evacuations().all())
-    {
-        const auto known_for = std::chrono::duration_cast<milliseconds>(
-            now - evacuation.known_since);
-        evacuated_zones.push_back({{"zone", zone},
-                                   {"revision", evacuation.revision},
-                                   {"known_ms", known_for.count()}});
-    }
-    nlohmann::json status{{"name", settings_.name},
-                          {"ready", !context_.stopping && state_.ready(now)},
-                          {"stopping", context_.stopping},
-                          {"configuration", state_.configuration_version()},
-                          {"confirmed_ms_ago", age ? age->count() : -1},
-                          {"reads_platform", reader_activation_.is_active()},
-                          {"backend_servers", state_.directory().size()},
-                          {"evacuated_zones", evacuated_zones},
-                          {"cold_servers", state_.directory().cold(now)},
-                          {"peers", peers_.size()},
-                          {"quarantined_parts", prompts_.size()},
-                          {"limited_servers", limits_.size()},
-                          {"open_requests", context_.open_requests.size()},
-                          {"open_callers", context_.open_callers}};
+    nlohmann::json status{
+        {"name", settings_.name},
+        {"ready", !context_.stopping && state_.ready(now)},
+        {"stopping", context_.stopping},
+        {"configuration", state_.configuration_version()},
+        {"confirmed_ms_ago", age ? age->count() : -1},
+        {"reads_platform", reader_activation_.is_active()},
+        {"backend_servers", state_.directory().size()},
+        {"evacuated_zones", state_.evacuations().all().size()},
+        {"cold_servers", state_.directory().cold(now)},
+        {"peers", peers_.size()},
+        {"quarantined_parts", prompts_.size()},
+        {"limited_servers", limits_.size()},
+        {"open_requests", context_.open_requests.size()},
+        {"open_callers", context_.open_callers}};
     return status.dump(2) + "\n";
 }
 
--- a/src/connection/gateway_server.hpp
+++ b/src/connection/gateway_server.hpp
@@ -75,7 +75,7 @@
     asio::awaitable<void> accept_loop(std::shared_ptr<tcp::acceptor> acceptor);
     void serve_caller(tcp::socket socket);
     text_response readiness_response(const text_request& request) const;
-    text_response operators_response(const text_request& request) const;
+    text_response operators_response(const text_request& request);
     std::string status_text() const;
     asio::awaitable<void> handle_signals();
     asio::awaitable<void> run_periodic_tasks();
--- a/src/connection/server_limit_guard.cpp
+++ b/src/connection/server_limit_guard.cpp
@@ -142,22 +142,7 @@
              {"per_second", news.per_second},
              {"told_ms_ago", age.count()}});
     }
-    auto cold = nlohmann::json::array();
-    for (const auto& server : directory_.all())
-    {
-        if (!limiter_.is_cold_limited(*server, now))
-        {
-            continue;
-        }
-        const auto remaining =
-            std::chrono::duration_cast<milliseconds>(server->cold_until - now);
-        const auto share = limiter_.share_of(*server, sender_role::chosen, now);
-        cold.push_back({{"server", server->id},
-                        {"cold_ms", remaining.count()},
-                        {"own_per_second", share.per_second}});
-    }
     const nlohmann::json status{
-        {"cold", cold},
         {"processes", limiter_.shares().processes()},
         {"usable_fraction", limiter_.shares().fraction()},
         {"refused", refusals_.value()},
--- a/src/version/gateway_configuration.hpp
+++ b/src/version/gateway_configuration.hpp
@@ -73,6 +73,11 @@
     /// Returns the service with this name, or null.
     const gateway_service* find_service(std::string_view name) const;
 
+    const std::vector<gateway_route>& routes() const { return data_.routes; }
+    const std::vector<gateway_customer>& customers() const
+    {
+        return data_.customers;
+    }
     const std::vector<gateway_service>& services() const
     {
         return data_.services;
--- a/tests/platform/evacuation_test.cpp
+++ b/tests/platform/evacuation_test.cpp
@@ -52,7 +52,7 @@
         section("operators see it",
                 [&]
                 {
-                    const auto page = one.fetch_operator_page("/status");
+                    const auto page = one.fetch_operator_page("/placement");
                     CPPUNIT_ASSERT(page.find("\"zone\": \"z1\"") !=
                                    std::string::npos);
                 });
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -25,6 +25,9 @@
 constexpr milliseconds contact_time{4000};
 constexpr std::size_t max_late_sends = 3;
 
+/// Time after which an evacuated zone gets no requests.
+constexpr milliseconds evacuation_limit{5000};
+
 /// In this time a server that names a rate limit gets at most one and a half
 /// times as many requests as it allows, and some more.
 constexpr milliseconds limit_window{4000};
@@ -349,6 +352,86 @@
     return violations;
 }
 
+std::vector<std::string>
+find_misplaced_runs(const soak_cluster& cluster, const soak_faults& faults,
+                    const std::vector<soak_record>& all)
+{
+    std::map<std::string, const soak_record*> by_id;
+    for (const auto& record : all)
+    {
+        by_id[record.id] = &record;
+    }
+    std::vector<std::string> violations;
+    for (const auto* server : cluster.servers())
+    {
+        for (const auto& request : server->received())
+        {
+            const auto found = by_id.find(request.id);
+            if (!cluster.in_second_zone(server->id()) || found == by_id.end())
+            {
+                continue;
+            }
+            const auto& record = *found->second;
+            if (record.kind == soak_kind::plain_stream)
+            {
+                violations.push_back(record.id + ": left its region");
+            }
+            for (const auto& period : faults.evacuations())
+            {
+                if (request.at > period.begin + evacuation_limit &&
+                    request.at < period.end &&
+                    faults.store_in_touch(period.begin, request.at) &&
+                    faults.in_touch(record.gateway, request.at))
+                {
+                    violations.push_back(record.id + ": reached " +
+                                         server->id() +
+                                         " after its zone was evacuated");
+                }
+            }
+        }
+    }
+    return violations;
+}
+
+std::vector<std::string> find_overheated(const soak_cluster& cluster,
+                                         const soak_faults& faults)
+{
+    constexpr milliseconds window{1000};
+    constexpr double allowed = 1.5 * cold_rate + 5;
+    std::vector<std::string> violations;
+    for (const auto& period : faults.cold_times())
+    {
+        const auto* server = *std::find_if(
+            cluster.servers().begin(), cluster.servers().end(),
+            [&](const auto* each) { return each->id() == period.name; });
+        const auto known = period.begin + contact_time;
+        const auto crashes = server->crash_times();
+        const bool restarted = std::any_of(
+            crashes.begin(), crashes.end(),
+            [&](auto at) { return at >= period.begin && at < period.end; });
+        if (restarted || !faults.store_in_touch(period.begin, period.end))
+        {
+            continue;
+        }
+        std::vector<boot_clock::time_point> times;
+        for (const auto& request : server->received())
+        {
+            if (request.at >= known && request.at < period.end)
+            {
+                times.push_back(request.at);
+            }
+        }
+        const auto most = busiest_window(times, window);
+        if (static_cast<double>(most) > allowed)
+        {
+            violations.push_back(server->id() + ": cold, got " +
+                                 std::to_string(most) +
+                                 " requests in a second");
+        }
+    }
+    return violations;
+}
+
 std::vector<std::string>
 find_unrecovered_gateways(soak_cluster& cluster, std::vector<soak_record>& all)
 {
--- a/tests/soak/soak_checks.hpp
+++ b/tests/soak/soak_checks.hpp
@@ -37,6 +37,16 @@
 find_exceeded_limits(const soak_cluster& cluster, const soak_faults& faults,
                      const std::vector<soak_record>& all);
 
+/// Returns a line for each request that reached a server of an evacuated zone
+/// too late, or a server outside of the regions that its route allows.
+std::vector<std::string>
+find_misplaced_runs(const soak_cluster& cluster, const soak_faults& faults,
+                    const std::vector<soak_record>& all);
+
+/// Returns a line for each cold server that got more requests than it takes.
+std::vector<std::string> find_overheated(const soak_cluster& cluster,
+                                         const soak_faults& faults);
+
 /// Waits until every gateway serves again. Returns a line for each that does
 /// not, and appends the records of the requests that it sends to `all`.
 std::vector<std::string>
--- a/tests/soak/soak_cluster.cpp
+++ b/tests/soak/soak_cluster.cpp
@@ -95,6 +95,11 @@
     {
         cluster_.set_address(id, address);
     }
+    for (const char* id : {"desk-3", "engine-6", "encode-2", "rerank-2"})
+    {
+        cluster_.set_zone(id, second_zone);
+        second_zone_servers_.insert(id);
+    }
     add_routes();
     for (const auto& store : stores)
     {
@@ -119,7 +124,10 @@
                        "desk");
     cluster_.add_route(path_of(soak_kind::resumable_stream), "streaming",
                        "engine")["streamResume"] = true;
-    cluster_.add_route(path_of(soak_kind::plain_stream), "streaming", "engine");
+    cluster_.add_route(path_of(soak_kind::plain_stream), "streaming",
+                       "engine")["allowedRegions"] = {"r1"};
+    cluster_.configuration()["services"].push_back(
+        {{"name", "desk"}, {"maxConnections", 1000}, {"coldPerS", cold_rate}});
     auto& staged = cluster_.add_route(path_of(soak_kind::with_stages),
                                       "idempotent", "desk");
     staged["phases"] = {
--- a/tests/soak/soak_cluster.hpp
+++ b/tests/soak/soak_cluster.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,13 @@
 constexpr std::size_t plain_servers = 3;
 constexpr std::size_t engines = 6;
 
+/// Zone of the last server of each service; the others are in zone z1. Streams
+/// that may not be resumed are bound to the region of z1.
+constexpr const char* second_zone = "z2";
+
+/// Requests a second that a cold plain server takes.
+constexpr double cold_rate = 10;
+
 /// Number of events in every stream.
 constexpr unsigned stream_events = 8;
 
@@ -54,6 +62,12 @@
         return stage_servers_;
     }
 
+    /// Returns whether a server is in the second zone.
+    bool in_second_zone(const std::string& server) const
+    {
+        return second_zone_servers_.contains(server);
+    }
+
     /// Returns the links that rules can name: "store-N" and the server ids.
     const std::vector<std::string>& links() const { return links_; }
 
@@ -77,6 +91,7 @@
     test_cluster cluster_;
     std::vector<backend_standin*> servers_;
     std::vector<stage_server_standin*> stage_servers_;
+    std::set<std::string> second_zone_servers_;
     std::vector<std::string> links_;
     std::vector<bench::proxy_route> routes_;
     std::unique_ptr<bench::fault_proxy> proxy_;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -46,6 +46,8 @@
         {"crash engines", &soak_faults::crash_engines},
         {"limit a server", &soak_faults::limit_server},
         {"limit a server", &soak_faults::limit_server},
+        {"evacuate a zone", &soak_faults::evacuate_zone},
+        {"cool a server", &soak_faults::cool_server},
         {"deregister a server", &soak_faults::deregister_server},
         {"fail a stage server", &soak_faults::fail_stage_server},
         {"rotate the key", &soak_faults::rotate_key}};
@@ -108,6 +110,32 @@
                         });
 }
 
+bool soak_faults::store_in_touch(boot_clock::time_point begin,
+                                 boot_clock::time_point end) const
+{
+    return std::none_of(store_faults_.begin(), store_faults_.end(),
+                        [&](const outage& each) {
+                            return each.begin <= end &&
+                                   begin - contact_time < each.end;
+                        });
+}
+
+void soak_faults::begin_store_fault()
+{
+    if (open_store_faults_++ == 0)
+    {
+        store_faults_.push_back({boot_clock::now()});
+    }
+}
+
+void soak_faults::end_store_fault()
+{
+    if (--open_store_faults_ == 0)
+    {
+        store_faults_.back().end = boot_clock::now();
+    }
+}
+
 void soak_faults::begin_outage(std::size_t gateway)
 {
     outages_[gateway].push_back({boot_clock::now()});
@@ -230,16 +258,27 @@
     }
     rules_[link] = link_faults[random_below(link_faults.size())];
     cluster_.set_rules(rules_);
+    const bool to_store = link.starts_with("store-");
+    if (to_store)
+    {
+        begin_store_fault();
+    }
     end_after(milliseconds(200), milliseconds(5000),
-              [this, link]
+              [this, link, to_store]
               {
                   rules_.erase(link);
                   cluster_.set_rules(rules_);
+                  if (to_store)
+                  {
+                      end_store_fault();
+                  }
               });
 }
 
 void soak_faults::reset_links()
 {
+    begin_store_fault();
+    end_store_fault();
     auto rules_with_resets = rules_;
     for (const auto& link : cluster_.links())
     {
@@ -255,6 +294,7 @@
 void soak_faults::degrade_store()
 {
     auto& store = cluster_.platform().store();
+    begin_store_fault();
     switch (random_below(3))
     {
     case 0:
@@ -268,16 +308,19 @@
         break;
     }
     end_after(milliseconds(300), milliseconds(4000),
-              [&store]
+              [this, &store]
               {
                   store.set_mode(store_mode::serving);
                   store.drop_answer_every(0);
+                  end_store_fault();
               });
 }
 
 void soak_faults::drop_history()
 {
+    begin_store_fault();
     cluster_.platform().store().compact();
+    end_store_fault();
 }
 
 void soak_faults::fail_server()
@@ -354,6 +397,41 @@
                        });
 }
 
+void soak_faults::evacuate_zone()
+{
+    if (!evacuations_.empty() &&
+        evacuations_.back().end == boot_clock::time_point::max())
+    {
+        return;
+    }
+    evacuations_.push_back({second_zone, boot_clock::now()});
+    cluster_.platform().evacuate(second_zone);
+    end_after(milliseconds(5000), milliseconds(9000),
+              [this]
+              {
+                  evacuations_.back().end = boot_clock::now();
+                  cluster_.platform().take_back(second_zone);
+              });
+}
+
+void soak_faults::cool_server()
+{
+    constexpr milliseconds cold_time{8000};
+    const auto now = boot_clock::now();
+    const auto& id = cluster_.servers()[random_below(plain_servers)]->id();
+    // What a degraded link held up would arrive at one moment.
+    if (rules_.contains(id) || is_limited(id) ||
+        (!cold_.empty() && cold_.back().begin + cold_time > now))
+    {
+        return;
+    }
+    cold_.push_back({id, now, now + cold_time - milliseconds(500)});
+    cluster_.platform().set_cold(id, cold_time);
+    end_after(cold_time, cold_time,
+              [this, id]
+              { cluster_.platform().set_cold(id, milliseconds(0)); });
+}
+
 void soak_faults::recover_servers()
 {
     for (auto* server : cluster_.servers())
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -25,12 +25,20 @@
     boot_clock::time_point end = boot_clock::time_point::max();
 };
 
+/// Time of a state that gateways learn from the store.
+struct published_period final
+{
+    std::string name; ///< of the server or zone
+    boot_clock::time_point begin;
+    boot_clock::time_point end = boot_clock::time_point::max();
+};
+
 /// Injects random, possibly overlapping faults into a cluster. Gateways are
 /// stopped, paused, killed, restarted or told to reload their settings.
 /// Connections are delayed, throttled, reset, cut or blocked in one direction.
 /// The store is unavailable, loses answers or compacts its history. Servers
-/// fail, crash, leave, return and name rate limits. Keys are revoked. Used by
-/// one thread.
+/// fail, crash, leave, return, name rate limits and become cold. Zones are
+/// evacuated. Keys are revoked. Used by one thread.
 class soak_faults final
 {
 public:
@@ -49,6 +57,19 @@
     /// Returns the times in which servers named rate limits.
     const std::vector<limit_period>& limits() const { return limits_; }
 
+    /// Returns the times in which the second zone was evacuated, and those in
+    /// which servers were cold.
+    const std::vector<published_period>& evacuations() const
+    {
+        return evacuations_;
+    }
+    const std::vector<published_period>& cold_times() const { return cold_; }
+
+    /// Returns whether all gateways could read the store in a span of time and
+    /// for some time before.
+    bool store_in_touch(boot_clock::time_point begin,
+                        boot_clock::time_point end) const;
+
     /// Returns how often each fault was started.
     const std::map<std::string, unsigned>& counts() const { return counts_; }
 
@@ -84,6 +105,10 @@
     void crash_engines();
     void limit_server();
     bool is_limited(const std::string& server) const;
+    void evacuate_zone();
+    void cool_server();
+    void begin_store_fault();
+    void end_store_fault();
     void recover_servers();
     void begin_outage(std::size_t gateway);
     void end_outage(std::size_t gateway);
@@ -110,6 +135,10 @@
     std::vector<std::vector<outage>> outages_;    ///< by gateway
     std::map<std::string, nlohmann::json> rules_; ///< by link
     std::vector<limit_period> limits_;
+    std::vector<published_period> evacuations_;
+    std::vector<published_period> cold_;
+    std::vector<outage> store_faults_;
+    int open_store_faults_ = 0;
     std::map<std::string, unsigned> counts_;
 };
 
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -101,8 +101,12 @@
     const auto wrong_refusals = find_wrong_refusals(records);
     violations.insert(violations.end(), wrong_refusals.begin(),
                       wrong_refusals.end());
-    const auto exceeded = find_exceeded_limits(cluster, faults, records);
-    violations.insert(violations.end(), exceeded.begin(), exceeded.end());
+    for (const auto& found : {find_exceeded_limits(cluster, faults, records),
+                              find_misplaced_runs(cluster, faults, records),
+                              find_overheated(cluster, faults)})
+    {
+        violations.insert(violations.end(), found.begin(), found.end());
+    }
     if (options.late_sends_known)
     {
         std::cout << "known red, not checked: " << late_sends_check << "\n";
