Choose model servers by the prompts they have still to read

Cause: long prompts hold up short ones on the same server. Each gateway chose by its own sends alone, blind to the length of prompts.

Change: a model of the prompt tokens that each server has still to read, own sends exactly and those of other gateways of the region from heartbeats. The server with the earliest expected first event is chosen, where reading a cached prefix again and long pauses of other streams count as waiting. Only for deployments whose servers share their machines.

--- a/src/connection/attempt_sender.cpp
+++ b/src/connection/attempt_sender.cpp
@@ -14,6 +14,7 @@
 #include "connection/stream_forwarder.hpp"
 #include "roles/gateway_state.hpp"
 
+#include <absl/strings/str_format.h>
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
@@ -47,7 +48,13 @@
 {
 }
 
-attempt_sender::~attempt_sender() = default;
+attempt_sender::~attempt_sender()
+{
+    for (const auto& [server, prompt] : prompts_)
+    {
+        context_.state.balancer().prompts().remove(prompt, boot_clock::now());
+    }
+}
 
 asio::awaitable<attempt_sender::attempt_pointer>
 attempt_sender::next(const request_stages* stages, std::function<bool()> wanted)
@@ -62,7 +69,8 @@
     while (unsent < max_connect_failures && time_left() > min_time_left &&
            connect_time() > milliseconds(0) && is_wanted())
     {
-        auto server = state.balancer().choose(servers(), preferences(stages),
+        const auto wanted_server = preferences(stages);
+        auto server = state.balancer().choose(servers(), wanted_server,
                                               boot_clock::now());
         if (!server && co_await wait_for_permit(stages))
         {
@@ -76,13 +84,12 @@
         {
             co_return nullptr;
         }
-        state.balancer().send_started(server->id);
+        start_send(*server, wanted_server);
         auto lease =
             co_await context_.connections.acquire(server, connect_time());
         if (!is_wanted())
         {
-            state.balancer().send_ended(server->id, send_outcome::cancelled, {},
-                                        boot_clock::now());
+            end_unsent(server->id, send_outcome::cancelled);
             if (lease.connection)
             {
                 context_.connections.release(server->id, lease.connection, {});
@@ -92,8 +99,7 @@
         if (lease.connection &&
             state.holds().is_held(*server, boot_clock::now()))
         {
-            state.balancer().send_ended(server->id, send_outcome::cancelled, {},
-                                        boot_clock::now());
+            end_unsent(server->id, send_outcome::cancelled);
             context_.connections.release(server->id, lease.connection, {});
             continue;
         }
@@ -120,7 +126,7 @@
         const auto outcome = lease.error == asio::error::no_buffer_space
                                  ? send_outcome::cancelled
                                  : send_outcome::failed;
-        state.balancer().send_ended(server->id, outcome, {}, boot_clock::now());
+        end_unsent(server->id, outcome);
     }
     co_return nullptr;
 }
@@ -128,8 +134,7 @@
 void attempt_sender::return_unsent(const forward_attempt& attempt)
 {
     const std::string& id = attempt.server()->id;
-    context_.state.balancer().send_ended(id, send_outcome::cancelled, {},
-                                         boot_clock::now());
+    end_unsent(id, send_outcome::cancelled);
     context_.connections.release(id, attempt.exchange()->connection(), {});
 }
 
@@ -140,6 +145,16 @@
     ++open_sends_;
 }
 
+void attempt_sender::record_head(const forward_attempt& attempt)
+{
+    const auto prompt = prompts_.find(attempt.server()->id);
+    if (prompt != prompts_.end() && attempt.streams())
+    {
+        context_.state.balancer().prompts().record_output(prompt->second,
+                                                          boot_clock::now());
+    }
+}
+
 void attempt_sender::record(const forward_attempt& attempt, bool cancelled)
 {
     const std::string& id = attempt.server()->id;
@@ -157,10 +172,8 @@
     {
         --sends_; // it reached no server of the service
     }
-    context_.state.balancer().send_ended(id, attempt.outcome(cancelled),
-                                         attempt.first_byte(),
-                                         boot_clock::now());
-    log_.push_back(attempt.text());
+    log_.push_back(attempt.text() + expectation_text(id));
+    end_send(id, attempt.outcome(cancelled), attempt.first_byte());
     if (attempt.end() == attempt_outcome::broken && !cancelled)
     {
         record_broken(attempt);
@@ -258,6 +271,47 @@
     }
 }
 
+void attempt_sender::start_send(const backend_server& server,
+                                const server_preferences& wanted)
+{
+    auto& balancer = context_.state.balancer();
+    balancer.send_started(server.id);
+    if (wanted.weighs_prompts)
+    {
+        prompts_[server.id] =
+            balancer.prompt_sent(server, wanted, boot_clock::now());
+    }
+}
+
+void attempt_sender::end_send(const std::string& server, send_outcome outcome,
+                              milliseconds first_byte)
+{
+    auto& balancer = context_.state.balancer();
+    const auto now = boot_clock::now();
+    balancer.send_ended(server, outcome, first_byte, now);
+    const auto prompt = prompts_.find(server);
+    if (prompt != prompts_.end())
+    {
+        balancer.prompts().remove(prompt->second, now);
+        prompts_.erase(prompt);
+    }
+}
+
+void attempt_sender::end_unsent(const std::string& server, send_outcome outcome)
+{
+    end_send(server, outcome, {});
+}
+
+std::string attempt_sender::expectation_text(const std::string& server) const
+{
+    const auto prompt = prompts_.find(server);
+    return prompt == prompts_.end()
+               ? ""
+               : absl::StrFormat(" expected %.0f ms for %.0f tokens",
+                                 prompt->second.expected.count(),
+                                 prompt->second.tokens);
+}
+
 text_request attempt_sender::checked_request(const backend_server& server,
                                              const request_stages* stages)
 {
@@ -267,8 +321,7 @@
     }
     catch (...)
     {
-        context_.state.balancer().send_ended(server.id, send_outcome::cancelled,
-                                             {}, boot_clock::now());
+        end_unsent(server.id, send_outcome::cancelled);
         throw;
     }
 }
@@ -313,7 +366,15 @@
     server_preferences result;
     result.affinity =
         accepted_.route->has_affinity ? accepted_.metadata.affinity : 0;
-    result.shared_tokens = accepted_.metadata.shared_tokens;
+    const auto& metadata = accepted_.metadata;
+    result.shared_tokens = metadata.shared_tokens;
+    result.own_tokens =
+        metadata.prompt_tokens -
+        std::min(metadata.prompt_tokens, metadata.shared_tokens);
+    result.max_pause = accepted_.route->gap_objective;
+    // Elsewhere prompts are short against the work of their servers.
+    result.weighs_prompts =
+        context_.state.has_shared_machines() && metadata.prompt_tokens > 0;
     result.excluded = tried_servers_;
     const auto now = boot_clock::now();
     for (const auto& server : servers())
--- a/src/connection/attempt_sender.hpp
+++ b/src/connection/attempt_sender.hpp
@@ -2,6 +2,9 @@
 
 #include "base/clock.hpp"
 #include "connection/asio_types.hpp"
+#include "request/prompt_work.hpp"
+
+#include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
 #include <functional>
@@ -19,6 +22,7 @@
 struct backend_server;
 struct gateway_context;
 struct server_preferences;
+enum class send_outcome : std::uint8_t;
 
 /// Prepares the attempts of one request: chooses a server that was not tried,
 /// connects to it, and keeps the record of what was sent. Used by one thread.
@@ -45,6 +49,10 @@
     /// Counts an attempt that is about to be sent.
     void count(const forward_attempt& attempt);
 
+    /// Records that the head of an answer came, which a server sends with its
+    /// first event.
+    void record_head(const forward_attempt& attempt);
+
     /// Records the outcome of a sent attempt and returns or closes its
     /// connection. `cancelled`: it ended for a reason unrelated to the server.
     void record(const forward_attempt& attempt, bool cancelled);
@@ -76,6 +84,12 @@
     /// a stream was begun for the request. Returns false if that is of no use.
     asio::awaitable<bool> wait_for_permit(const request_stages* stages) const;
     void record_broken(const forward_attempt& attempt) const;
+    void start_send(const backend_server& server,
+                    const server_preferences& wanted);
+    void end_send(const std::string& server, send_outcome outcome,
+                  milliseconds first_byte);
+    void end_unsent(const std::string& server, send_outcome outcome);
+    std::string expectation_text(const std::string& server) const;
     /// Returns the servers that the request may be sent to now.
     const std::vector<std::shared_ptr<const backend_server>>& servers() const;
     bool may_use(const backend_server& server) const;
@@ -89,7 +103,9 @@
     const accepted_request& accepted_;
     const stream_forwarder& stream_;
     std::vector<std::string> tried_servers_; ///< by id
-    std::vector<std::string> log_;           ///< one entry per attempt
+    absl::flat_hash_map<std::string, sent_prompt>
+        prompts_;                  ///< sent and not ended, by server
+    std::vector<std::string> log_; ///< one entry per attempt
     std::uint32_t sends_ = 0;
     std::uint32_t open_sends_ = 0; ///< whose outcome is not recorded yet
     std::uint32_t misdirected_sends_ = 0;
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -363,6 +363,7 @@
         sender_->count(attempt);
         accepted_.reservation.reset();
         co_await attempt.start(limits(), stream_->begun());
+        sender_->record_head(attempt);
     }
     if (attempt.streams())
     {
@@ -477,6 +478,7 @@
     };
     own_limits.on_progress = [] {};
     co_await attempt->start(own_limits, stream_->begun());
+    sender_->record_head(*attempt);
     co_await attempt->read_first_event(own_limits);
     if (attempt->has_answer() && !standby.stopped())
     {
--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -159,6 +159,14 @@
                    { return static_cast<double>(context_.open_callers); });
     metrics_.gauge("mangolink_idle_backend_connections",
                    [this] { return static_cast<double>(connections_.idle()); });
+    metrics_.gauge("mangolink_prompt_tokens_unread",
+                   [this] {
+                       return state_.balancer().prompts().unread_tokens(
+                           boot_clock::now());
+                   });
+    metrics_.gauge(
+        "mangolink_prompt_tokens_per_ms", [this]
+        { return 1 / state_.balancer().prompts().read_time(1).count(); });
     spawn_service(io_, "signals", [this] { return handle_signals(); });
     spawn_service(io_, "periodic tasks",
                   [this] { return run_periodic_tasks(); });
@@ -179,8 +187,8 @@
     peer_server_ = std::make_unique<peer_server>(io_, peers_.self().address,
                                                  stages_, updates_, memory_);
     heartbeats_ = std::make_unique<peer_heartbeats>(
-        io_, peers_, stages_, prompts_, limits_, settings_.seeds,
-        [this] { topology_changed(); }, metrics_);
+        io_, peers_, stages_, prompts_, limits_, state_.balancer().prompts(),
+        settings_.seeds, [this] { topology_changed(); }, metrics_);
     update_follower_ = std::make_unique<update_follower>(
         io_, state_, updater_, peers_, reader_activation_,
         backend_caller(io_, protocol_, connections_, nullptr, memory_),
--- a/src/connection/peer_heartbeats.cpp
+++ b/src/connection/peer_heartbeats.cpp
@@ -5,6 +5,7 @@
 #include "connection/listening_socket.hpp"
 #include "connection/prompt_guard.hpp"
 #include "connection/prompt_message.hpp"
+#include "connection/prompt_work_message.hpp"
 #include "connection/server_limit_guard.hpp"
 #include "connection/service_task.hpp"
 #include "connection/stage_dispatcher.hpp"
@@ -56,15 +57,14 @@
 
 } // namespace
 
-peer_heartbeats::peer_heartbeats(asio::io_context& io, peer_directory& peers,
-                                 stage_dispatcher& stages,
-                                 prompt_guard& prompts,
-                                 server_limit_guard& limits,
-                                 std::vector<std::string> seeds,
-                                 std::function<void()> changed,
-                                 metrics_registry& metrics)
+peer_heartbeats::peer_heartbeats(
+    asio::io_context& io, peer_directory& peers, stage_dispatcher& stages,
+    prompt_guard& prompts, server_limit_guard& limits, prompt_work& prompt_work,
+    std::vector<std::string> seeds, std::function<void()> changed,
+    metrics_registry& metrics)
     : io_(io), peers_(peers), stages_(stages), prompts_(prompts),
-      limits_(limits), seeds_(std::move(seeds)), changed_(std::move(changed)),
+      limits_(limits), prompt_work_(prompt_work), seeds_(std::move(seeds)),
+      changed_(std::move(changed)),
       sent_(metrics.counter("mangolink_beats_total", "how=\"sent\"")),
       received_(metrics.counter("mangolink_beats_total", "how=\"received\"")),
       invalid_(metrics.counter("mangolink_beats_total", "how=\"unreadable\"")),
@@ -110,17 +110,42 @@
     const auto load_reports = stages_.load_reports();
     kind_ =
         load_reports.empty() ? heartbeat_kind::liveness : heartbeat_kind::load;
-    const std::string bytes = encode(load_reports);
-    for (const auto& address :
-         peers_.heartbeat_targets(heartbeat_number, kind_))
+    auto heartbeat = compose(load_reports);
+    const std::string bytes = heartbeat.SerializeAsString();
+    auto targets = peers_.heartbeat_targets(heartbeat_number, kind_);
+    const auto now = boot_clock::now();
+    prompt_work_.expire(now);
+    const auto work = prompt_work_.report(now);
+    if (!work.empty())
     {
-        error_code error;
-        const asio::ip::udp::endpoint to(
-            asio::ip::make_address(address.host, error), address.port);
-        socket_.send_to(asio::buffer(bytes), to, 0, error);
-        // A failed send is not retried; the next heartbeat replaces it.
-        sent_.add(error ? 0 : 1);
+        // In another region the report would come too late.
+        write_prompt_work(work, heartbeat);
+        const std::string bytes_in_region = heartbeat.SerializeAsString();
+        const auto in_region = peers_.region_targets(heartbeat_number, kind_);
+        const absl::flat_hash_set<socket_address> sent(in_region.begin(),
+                                                       in_region.end());
+        for (const auto& address : in_region)
+        {
+            send_datagram(address, bytes_in_region);
+        }
+        std::erase_if(targets, [&sent](const socket_address& address)
+                      { return sent.contains(address); });
     }
+    for (const auto& address : targets)
+    {
+        send_datagram(address, bytes);
+    }
+}
+
+void peer_heartbeats::send_datagram(const socket_address& address,
+                                    const std::string& bytes)
+{
+    error_code error;
+    const asio::ip::udp::endpoint to(
+        asio::ip::make_address(address.host, error), address.port);
+    socket_.send_to(asio::buffer(bytes), to, 0, error);
+    // A failed send is not retried; the next heartbeat replaces it.
+    sent_.add(error ? 0 : 1);
 }
 
 asio::awaitable<void> peer_heartbeats::receive_loop()
@@ -228,6 +253,7 @@
     if (!delayed)
     {
         merge_prompts(heartbeat);
+        prompt_work_.merge(heartbeat.name(), read_prompt_work(heartbeat), now);
     }
     limits_.merge(heartbeat, delayed);
     if (change == peer_change::none)
@@ -260,8 +286,8 @@
     }
 }
 
-std::string
-peer_heartbeats::encode(const std::vector<named_load_report>& load_reports)
+wire::gateway_heartbeat
+peer_heartbeats::compose(const std::vector<named_load_report>& load_reports)
 {
     const peer& self = peers_.self();
     wire::gateway_heartbeat heartbeat;
@@ -297,7 +323,7 @@
             heartbeat.add_known(address.text());
         }
     }
-    return heartbeat.SerializeAsString();
+    return heartbeat;
 }
 
 void peer_heartbeats::add_seed_addresses(boot_clock::time_point now)
--- a/src/connection/peer_heartbeats.hpp
+++ b/src/connection/peer_heartbeats.hpp
@@ -23,14 +23,17 @@
 class metrics_registry;
 class peer_directory;
 class prompt_guard;
+class prompt_work;
 class server_limit_guard;
 class stage_dispatcher;
 enum class heartbeat_kind : std::uint8_t;
 struct named_load_report;
+struct socket_address;
 
 /// Sends and receives heartbeat datagrams between processes of the same role,
 /// which report liveness, the load of stage servers, prompts that may crash
-/// servers and rate limits of servers. Lost datagrams are not retransmitted,
+/// servers, rate limits of servers and, within a region, prompts that servers
+/// have still to read. Lost datagrams are not retransmitted,
 /// since the next one supersedes them. Used by one thread.
 class peer_heartbeats final
 {
@@ -38,7 +41,8 @@
     /// Starts immediately. `changed` is called after a peer joined or left.
     peer_heartbeats(asio::io_context& io, peer_directory& peers,
                     stage_dispatcher& stages, prompt_guard& prompts,
-                    server_limit_guard& limits, std::vector<std::string> seeds,
+                    server_limit_guard& limits, prompt_work& prompt_work,
+                    std::vector<std::string> seeds,
                     std::function<void()> changed, metrics_registry& metrics);
     ~peer_heartbeats();
 
@@ -65,7 +69,9 @@
     void process_datagram(std::size_t size, bool delayed);
     void merge_prompts(const wire::gateway_heartbeat& heartbeat);
     void send(std::uint64_t heartbeat_number);
-    std::string encode(const std::vector<named_load_report>& load_reports);
+    void send_datagram(const socket_address& address, const std::string& bytes);
+    wire::gateway_heartbeat
+    compose(const std::vector<named_load_report>& load_reports);
     void add_seed_addresses(boot_clock::time_point now);
 
     asio::io_context& io_;
@@ -73,6 +79,7 @@
     stage_dispatcher& stages_;
     prompt_guard& prompts_;
     server_limit_guard& limits_;
+    prompt_work& prompt_work_;
     std::vector<std::string> seeds_;
     std::function<void()> changed_;
     event_counter& sent_;
--- a/src/process/peer_directory.cpp
+++ b/src/process/peer_directory.cpp
@@ -18,6 +18,10 @@
 /// costs more than up-to-date load data of remote servers is worth.
 constexpr std::size_t max_peers_at_full_rate = 8;
 
+/// Up to this number of peers in the own region all of them can get each
+/// heartbeat.
+constexpr std::size_t max_region_peers_at_full_rate = 24;
+
 /// One in this many heartbeats is sent to a process, by the kind of heartbeat
 /// and the distance (same zone, same region, another region). Few processes
 /// send load reports, by which all others choose between zones.
@@ -193,6 +197,27 @@
     return result;
 }
 
+std::vector<socket_address>
+peer_directory::region_targets(std::uint64_t heartbeat_number,
+                               heartbeat_kind kind) const
+{
+    std::vector<socket_address> all;
+    std::vector<socket_address> due;
+    for (const auto& [name, entry] : peers_)
+    {
+        if (distance_to(entry.info) == distance::other_region)
+        {
+            continue;
+        }
+        all.push_back(entry.info.address);
+        if (heartbeat_number % heartbeat_stride(entry.info, kind) == 0)
+        {
+            due.push_back(entry.info.address);
+        }
+    }
+    return all.size() <= max_region_peers_at_full_rate ? all : due;
+}
+
 void peer_directory::suspect(const std::string& name)
 {
     const auto found = peers_.find(name);
--- a/src/process/peer_directory.hpp
+++ b/src/process/peer_directory.hpp
@@ -85,6 +85,11 @@
     heartbeat_targets(std::uint64_t heartbeat_number,
                       heartbeat_kind kind) const;
 
+    /// Returns the addresses of the peers in the own region, also of those that
+    /// the heartbeat with this number is not sent to if they are few.
+    std::vector<socket_address> region_targets(std::uint64_t heartbeat_number,
+                                               heartbeat_kind kind) const;
+
     /// Returns the mean number of peers that a heartbeat is sent to.
     double mean_heartbeat_targets(heartbeat_kind kind) const;
 
--- a/src/request/direct_balancer.cpp
+++ b/src/request/direct_balancer.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 
 namespace mangolink
 {
@@ -53,9 +54,29 @@
 constexpr double affinity_load_factor = 2;
 constexpr double affinity_load_reserve = 4;
 
+/// Cost of reading a token of a cached prefix again, without its time.
+constexpr double reread_token_cost_ms = 0.09;
+
+/// Probability that the prefix is cached at the server that is next in line
+/// after the preferred one, which takes the prompts that it has no time for.
+constexpr double second_affinity = 0.3;
+
+/// A server that reads prompts without a break for the accepted pause delays
+/// all its streams. Prompts avoid a server from this fraction on, since the
+/// newest sends of other processes are not known.
+constexpr double pause_fraction = 0.5;
+constexpr double pause_cost_factor = 2;
+
+/// Round trips, for the expected time to the first event.
+constexpr precise_milliseconds round_trips[] = {
+    precise_milliseconds(1), precise_milliseconds(2), precise_milliseconds(25)};
+
+constexpr double no_cost = std::numeric_limits<double>::infinity();
+
 } // namespace
 
-direct_balancer::direct_balancer(placement place) : place_(std::move(place))
+direct_balancer::direct_balancer(placement place)
+    : place_(std::move(place)), tie_seed_(stable_hash(place_.instance))
 {
 }
 
@@ -64,6 +85,10 @@
                         const server_preferences& preferences,
                         boot_clock::time_point now)
 {
+    if (preferences.weighs_prompts)
+    {
+        return choose_by_prompts(servers, preferences, now);
+    }
     const auto candidates = candidates_of(servers, preferences, now);
     if (candidates.empty())
     {
@@ -88,14 +113,202 @@
             chosen = candidates[i];
         }
     }
-    server_record& record = records_[chosen->id];
+    mark_chosen(*chosen, now);
+    return chosen;
+}
+
+void direct_balancer::mark_chosen(const backend_server& server,
+                                  boot_clock::time_point now)
+{
+    server_record& record = records_[server.id];
     record.last_choice = ++choices_;
     if (record.failures >= ejection_failures)
     {
         // This request probes the server; the others avoid it meanwhile.
         record.ejected_until = now + min_ejection_time;
     }
-    return chosen;
+}
+
+direct_balancer::server_pointer
+direct_balancer::choose_by_prompts(const std::vector<server_pointer>& servers,
+                                   const server_preferences& preferences,
+                                   boot_clock::time_point now)
+{
+    const absl::flat_hash_set<absl::string_view> excluded_ids(
+        preferences.excluded.begin(), preferences.excluded.end());
+    const absl::flat_hash_set<absl::string_view> limited_ids(
+        preferences.limited.begin(), preferences.limited.end());
+    // Ignores ejections when all servers are ejected.
+    for (const bool respects_ejections : {true, false})
+    {
+        costs_.assign(servers.size(), no_cost);
+        bool any = false;
+        for (std::size_t i = 0; i < servers.size(); ++i)
+        {
+            const auto& id = servers[i]->id;
+            if (!excluded_ids.contains(id) &&
+                !(respects_ejections && is_ejected(id, now)))
+            {
+                costs_[i] = 0;
+                any = true;
+            }
+        }
+        if (!any)
+        {
+            continue;
+        }
+        const auto prefix = find_prefix_servers(servers, preferences);
+        double lowest_cost = no_cost;
+        for (std::size_t i = 0; i < servers.size(); ++i)
+        {
+            if (costs_[i] < no_cost)
+            {
+                const backend_server& server = *servers[i];
+                costs_[i] =
+                    prompt_cost_ms(server, preferences, prefix, now) -
+                    (limited_ids.contains(server.id) ? limited_gain_ms : 0);
+                lowest_cost = std::min(lowest_cost, costs_[i]);
+            }
+        }
+        auto chosen = least_recent_of_lowest(servers, lowest_cost);
+        mark_chosen(*chosen, now);
+        const std::uint64_t start = chosen->start_hash();
+        last_choice_ = {start, cached_fraction(*chosen, start, preferences,
+                                               prefix, now) == 1};
+        return chosen;
+    }
+    return nullptr;
+}
+
+direct_balancer::server_pointer direct_balancer::least_recent_of_lowest(
+    const std::vector<server_pointer>& servers, double lowest_cost) const
+{
+    std::size_t best = servers.size();
+    std::uint64_t best_choice = 0;
+    std::uint64_t best_rank = 0;
+    for (std::size_t i = 0; i < servers.size(); ++i)
+    {
+        if (costs_[i] > lowest_cost + equal_ms)
+        {
+            continue;
+        }
+        const auto* record = find_record(servers[i]->id);
+        const auto choice = record == nullptr ? 0 : record->last_choice;
+        // Processes that start at the same time must not begin with the same
+        // server.
+        const auto rank = stable_hash(servers[i]->id, tie_seed_);
+        if (best == servers.size() || choice < best_choice ||
+            (choice == best_choice && rank > best_rank))
+        {
+            best = i;
+            best_choice = choice;
+            best_rank = rank;
+        }
+    }
+    return servers[best];
+}
+
+direct_balancer::prefix_servers direct_balancer::find_prefix_servers(
+    const std::vector<server_pointer>& servers,
+    const server_preferences& preferences) const
+{
+    prefix_servers result;
+    if (preferences.affinity == 0)
+    {
+        return result;
+    }
+    std::uint64_t ranks[3] = {0, 0, 0};
+    for (std::size_t i = 0; i < servers.size(); ++i)
+    {
+        if (costs_[i] == no_cost)
+        {
+            continue;
+        }
+        const auto& server = servers[i];
+        const auto rank = stable_hash(server->id, preferences.affinity);
+        if (result.first == nullptr || rank > ranks[0])
+        {
+            result.second = result.first;
+            ranks[1] = ranks[0];
+            result.first = server.get();
+            ranks[0] = rank;
+        }
+        else if (result.second == nullptr || rank > ranks[1])
+        {
+            result.second = server.get();
+            ranks[1] = rank;
+        }
+        if ((result.in_zone == nullptr || rank > ranks[2]) &&
+            server->zone == place_.zone)
+        {
+            result.in_zone = server.get();
+            ranks[2] = rank;
+        }
+    }
+    return result;
+}
+
+double direct_balancer::cached_fraction(const backend_server& server,
+                                        std::uint64_t start,
+                                        const server_preferences& preferences,
+                                        const prefix_servers& prefix,
+                                        boot_clock::time_point now) const
+{
+    if (preferences.affinity == 0)
+    {
+        return 0;
+    }
+    const double assumed = &server == prefix.first     ? 1
+                           : &server == prefix.in_zone ? zone_affinity
+                           : &server == prefix.second  ? second_affinity
+                                                       : 0;
+    return assumed < 1 && prompts_.is_cached(start, preferences.affinity, now)
+               ? 1
+               : assumed;
+}
+
+double direct_balancer::prompt_cost_ms(const backend_server& server,
+                                       const server_preferences& preferences,
+                                       const prefix_servers& prefix,
+                                       boot_clock::time_point now) const
+{
+    const std::uint64_t start = server.start_hash();
+    const double uncached =
+        preferences.shared_tokens *
+        (1 - cached_fraction(server, start, preferences, prefix, now));
+    const double busy_ms =
+        (prompts_.wait(start, now) +
+         prompts_.read_time(preferences.own_tokens + uncached))
+            .count();
+    const auto max_pause_ms =
+        static_cast<double>(preferences.max_pause.count());
+    double result = busy_ms + uncached * reread_token_cost_ms +
+                    prompts_.running(start) * in_flight_cost_ms +
+                    distance_cost_ms(server.zone, preferences.bytes);
+    if (max_pause_ms > 0)
+    {
+        result += pause_cost_factor *
+                  std::max(0.0, busy_ms - max_pause_ms * pause_fraction);
+    }
+    for (const auto& [zone, bytes] : preferences.bytes_in_zone)
+    {
+        result += zone == server.zone ? 0 : transfer_cost_ms(bytes);
+    }
+    return result;
+}
+
+sent_prompt direct_balancer::prompt_sent(const backend_server& server,
+                                         const server_preferences& preferences,
+                                         boot_clock::time_point now)
+{
+    const std::uint64_t start = server.start_hash();
+    const bool cached = start == last_choice_.start && last_choice_.cached;
+    return prompts_.add(
+        start,
+        {preferences.affinity, preferences.shared_tokens,
+         preferences.own_tokens},
+        cached, round_trips[static_cast<std::size_t>(place_.to(server.zone))],
+        now);
 }
 
 std::vector<direct_balancer::server_pointer>
@@ -179,6 +392,7 @@
     record.in_flight -= record.in_flight > 0 ? 1 : 0;
     if (outcome == send_outcome::served)
     {
+        failing_.erase(server);
         record.failures = 0;
         const auto value = static_cast<double>(first_byte.count());
         record.first_byte_ms +=
@@ -200,6 +414,7 @@
     record.last_failure = now;
     if (record.failures >= ejection_failures)
     {
+        failing_.insert(server);
         const auto doublings =
             std::min<std::uint32_t>(record.failures - ejection_failures, 3);
         record.ejected_until =
@@ -217,13 +432,17 @@
 bool direct_balancer::is_ejected(const std::string& server,
                                  boot_clock::time_point now) const
 {
+    if (!failing_.contains(server))
+    {
+        return false;
+    }
     const auto* record = find_record(server);
-    return record != nullptr && record->failures >= ejection_failures &&
-           record->ejected_until > now;
+    return record != nullptr && record->ejected_until > now;
 }
 
 void direct_balancer::forget(const std::string& server)
 {
+    failing_.erase(server);
     records_.erase(server);
 }
 
--- a/src/request/direct_balancer.hpp
+++ b/src/request/direct_balancer.hpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 #include "process/backend_server.hpp"
 #include "process/placement.hpp"
+#include "request/prompt_work.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -26,7 +27,11 @@
     std::vector<std::string> excluded; ///< ids of servers already tried
     /// Ids of servers with a rate limit that this process may use now.
     std::vector<std::string> limited;
-    std::size_t bytes = 0; ///< size of the request body
+    std::size_t bytes = 0;        ///< size of the request body
+    std::uint32_t own_tokens = 0; ///< length of the prompt after the prefix
+    milliseconds max_pause{0};    ///< accepted between events; 0: unknown
+    /// The server is chosen by the prompts that servers have still to read.
+    bool weighs_prompts = false;
 };
 
 /// Outcome of sending a request to a server, as far as it concerns the health
@@ -49,7 +54,13 @@
 /// prefix prefer one server of the whole pool, and those with a short one
 /// prefer one server of their zone, unless it is overloaded compared with the
 /// mean. Servers with a rate limit, which few processes use, are preferred a
-/// little by these. Not thread-safe.
+/// little by these.
+///
+/// If the request asks for it, its server is the one where its first event is
+/// expected first, by the prompts that each server has still to read. Reading a
+/// cached prefix again and pauses that a long prompt causes for the streams of
+/// others count as waiting time, so that long prompts are spread over as many
+/// servers as their load requires. Not thread-safe.
 class direct_balancer final
 {
 public:
@@ -80,6 +91,15 @@
     bool is_ejected(const std::string& server,
                     boot_clock::time_point now) const;
 
+    /// Records that a request with a prompt is sent to a server, which the last
+    /// call of choose() returned for it.
+    sent_prompt prompt_sent(const backend_server& server,
+                            const server_preferences& preferences,
+                            boot_clock::time_point now);
+
+    /// Returns the model of the prompts that servers have still to read.
+    prompt_work& prompts() { return prompts_; }
+
     /// Removes the state of a server.
     void forget(const std::string& server);
 
@@ -107,6 +127,21 @@
             affinity_server_in_zone;
     };
 
+    /// What the last choice assumed about the chosen server.
+    struct choice_record final
+    {
+        std::uint64_t start = 0; ///< hash of the server's id and start
+        bool cached = false;     ///< the shared prefix of the request
+    };
+
+    /// Servers that are assumed to have the shared prefix of a request cached.
+    struct prefix_servers final
+    {
+        const backend_server* first = nullptr;  ///< of the pool
+        const backend_server* second = nullptr; ///< when the first is occupied
+        const backend_server* in_zone = nullptr;
+    };
+
     const server_record* find_record(const std::string& server) const;
     std::vector<server_pointer>
     candidates_of(const std::vector<server_pointer>& servers,
@@ -122,9 +157,34 @@
                            const pool_view& pool);
     double distance_cost_ms(const std::string& zone, std::size_t bytes) const;
 
+    /// Uses costs_, in which excluded servers are marked.
+    server_pointer choose_by_prompts(const std::vector<server_pointer>& servers,
+                                     const server_preferences& preferences,
+                                     boot_clock::time_point now);
+    prefix_servers
+    find_prefix_servers(const std::vector<server_pointer>& servers,
+                        const server_preferences& preferences) const;
+    double prompt_cost_ms(const backend_server& server,
+                          const server_preferences& preferences,
+                          const prefix_servers& prefix,
+                          boot_clock::time_point now) const;
+    double cached_fraction(const backend_server& server, std::uint64_t start,
+                           const server_preferences& preferences,
+                           const prefix_servers& prefix,
+                           boot_clock::time_point now) const;
+    server_pointer
+    least_recent_of_lowest(const std::vector<server_pointer>& servers,
+                           double lowest_cost) const;
+    void mark_chosen(const backend_server& server, boot_clock::time_point now);
+
     placement place_;
     absl::flat_hash_map<std::string, server_record> records_;
     std::uint64_t choices_ = 0;
+    absl::flat_hash_set<std::string> failing_; ///< ejected or probed, by id
+    prompt_work prompts_;
+    choice_record last_choice_;
+    std::vector<double> costs_; ///< of the last choice; scratch space
+    std::uint64_t tie_seed_;    ///< differs between processes
 };
 
 } // namespace mangolink
--- a/tests/unit/direct_balancer_test.cpp
+++ b/tests/unit/direct_balancer_test.cpp
@@ -1,7 +1,9 @@
+#include "base/hash.hpp"
 #include "request/direct_balancer.hpp"
 #include "support/section.hpp"
 
 #include <map>
+#include <random>
 
 namespace mangolink::test
 {
@@ -32,6 +34,7 @@
     CPPUNIT_TEST(a_pool_keeps_candidates_when_all_are_ejected);
     CPPUNIT_TEST(requests_prefer_the_zone_of_their_results);
     CPPUNIT_TEST(a_usable_server_with_a_rate_limit_is_preferred);
+    CPPUNIT_TEST(choices_without_prompt_work_stay_as_they_were);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -214,6 +217,44 @@
         CPPUNIT_ASSERT_EQUAL(std::string("b1"), send(preferences));
     }
 
+    void choices_without_prompt_work_stay_as_they_were()
+    {
+        std::mt19937_64 random(7);
+        std::vector<server_pointer> servers;
+        for (int i = 0; i < 12; ++i)
+        {
+            const std::string zone(1, "abc"[i % 3]);
+            servers.push_back(server("s" + std::to_string(i), zone));
+        }
+        direct_balancer balancer({"g1", "a", {"a", "b"}});
+        std::vector<std::string> open;
+        running_digest choices;
+        for (int i = 0; i < 4000; ++i)
+        {
+            now_ += milliseconds(random() % 8);
+            server_preferences preferences;
+            preferences.affinity = random() % 20;
+            preferences.shared_tokens = random() % 7000;
+            preferences.bytes = random() % 20'000;
+            preferences.bytes_in_zone["b"] = random() % 300'000;
+            preferences.excluded = {servers[random() % 12]->id};
+            const auto chosen = balancer.choose(servers, preferences, now_);
+            choices.add(chosen->id);
+            balancer.send_started(chosen->id);
+            open.push_back(chosen->id);
+            while (open.size() > random() % 40)
+            {
+                const auto outcome = static_cast<send_outcome>(
+                    random() % 10 < 8 ? 0 : random() % 5);
+                balancer.send_ended(open.front(), outcome,
+                                    milliseconds(1 + random() % 300), now_);
+                open.erase(open.begin());
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7937582049573516377},
+                             choices.value());
+    }
+
 private:
     std::string send(const server_preferences& preferences)
     {
