Tell other gateways of long prompts at once

Cause: a gateway knew of the prompts of others from heartbeats only.

Change: a prompt of 1,000 tokens and more is told in a small datagram to the region and to one relay in each zone elsewhere, which tells its zone. Bit sets save most lookups of a choice.

--- a/src/connection/peer_heartbeats.cpp
+++ b/src/connection/peer_heartbeats.cpp
@@ -77,11 +77,16 @@
     socket_.open(endpoint.protocol());
     socket_.bind(endpoint);
     socket_.non_blocking(true);
+    prompt_work_.set_listener([this](const server_prompt_work& work)
+                              { tell_prompt(work); });
     spawn_service(io_, "heartbeat receiver", [this] { return receive_loop(); });
     spawn_service(io_, "heartbeat sender", [this] { return send_loop(); });
 }
 
-peer_heartbeats::~peer_heartbeats() = default;
+peer_heartbeats::~peer_heartbeats()
+{
+    prompt_work_.set_listener(nullptr);
+}
 
 void peer_heartbeats::set_seeds(std::vector<std::string> seeds)
 {
@@ -112,29 +117,58 @@
         load_reports.empty() ? heartbeat_kind::liveness : heartbeat_kind::load;
     auto heartbeat = compose(load_reports);
     const std::string bytes = heartbeat.SerializeAsString();
-    auto targets = peers_.heartbeat_targets(heartbeat_number, kind_);
+    const auto targets = peers_.heartbeat_targets(heartbeat_number, kind_);
     const auto now = boot_clock::now();
     prompt_work_.expire(now);
     const auto work = prompt_work_.report(now);
+    std::string bytes_nearby;
     if (!work.empty())
     {
-        // In another region the report would come too late.
         write_prompt_work(work, heartbeat);
-        const std::string bytes_in_region = heartbeat.SerializeAsString();
-        const auto in_region = peers_.region_targets(heartbeat_number, kind_);
-        const absl::flat_hash_set<socket_address> sent(in_region.begin(),
-                                                       in_region.end());
-        for (const auto& address : in_region)
-        {
-            send_datagram(address, bytes_in_region);
-        }
-        std::erase_if(targets, [&sent](const socket_address& address)
-                      { return sent.contains(address); });
+        bytes_nearby = heartbeat.SerializeAsString();
     }
     for (const auto& address : targets)
+    {
+        // In another region the report would come too late.
+        const bool with_work = !work.empty() && peers_.is_nearby(address);
+        send_datagram(address, with_work ? bytes_nearby : bytes);
+    }
+}
+
+void peer_heartbeats::tell_prompt(const server_prompt_work& work)
+{
+    wire::gateway_heartbeat message;
+    message.set_name(peers_.self().name);
+    write_prompt_work({work}, message);
+    const std::string bytes = message.SerializeAsString();
+    for (const auto& address : peers_.nearby_addresses(false))
     {
         send_datagram(address, bytes);
     }
+    message.mutable_prompt_work()->set_relay(true);
+    const std::string bytes_to_relay = message.SerializeAsString();
+    for (const auto& address : peers_.relay_addresses(work.server))
+    {
+        send_datagram(address, bytes_to_relay);
+    }
+}
+
+void peer_heartbeats::process_prompt(wire::gateway_heartbeat& message)
+{
+    const auto now = boot_clock::now();
+    for (const auto& work : read_prompt_work(message))
+    {
+        prompt_work_.add_reported(message.name(), work, now);
+    }
+    if (message.prompt_work().relay())
+    {
+        message.mutable_prompt_work()->set_relay(false);
+        const std::string bytes = message.SerializeAsString();
+        for (const auto& address : peers_.nearby_addresses(true))
+        {
+            send_datagram(address, bytes);
+        }
+    }
 }
 
 void peer_heartbeats::send_datagram(const socket_address& address,
@@ -223,6 +257,15 @@
         invalid_.add();
         return;
     }
+    if (heartbeat.has_prompt_work() && heartbeat.address().empty() &&
+        !heartbeat.name().empty())
+    {
+        if (!delayed)
+        {
+            process_prompt(heartbeat);
+        }
+        return;
+    }
     const auto address = socket_address::parse(heartbeat.address());
     if (!address || heartbeat.name().empty() || heartbeat.incarnation() == 0)
     {
--- a/src/connection/peer_heartbeats.hpp
+++ b/src/connection/peer_heartbeats.hpp
@@ -28,6 +28,7 @@
 class stage_dispatcher;
 enum class heartbeat_kind : std::uint8_t;
 struct named_load_report;
+struct server_prompt_work;
 struct socket_address;
 
 /// Sends and receives heartbeat datagrams between processes of the same role,
@@ -69,6 +70,8 @@
     void process_datagram(std::size_t size, bool delayed);
     void merge_prompts(const wire::gateway_heartbeat& heartbeat);
     void send(std::uint64_t heartbeat_number);
+    void tell_prompt(const server_prompt_work& work);
+    void process_prompt(wire::gateway_heartbeat& message);
     void send_datagram(const socket_address& address, const std::string& bytes);
     wire::gateway_heartbeat
     compose(const std::vector<named_load_report>& load_reports);
--- a/src/process/peer_directory.cpp
+++ b/src/process/peer_directory.cpp
@@ -18,9 +18,8 @@
 /// costs more than up-to-date load data of remote servers is worth.
 constexpr std::size_t max_peers_at_full_rate = 8;
 
-/// Up to this number of peers in the own region all of them can get each
-/// heartbeat.
-constexpr std::size_t max_region_peers_at_full_rate = 24;
+/// Up to this number of nearby peers are told of single requests.
+constexpr std::size_t max_nearby_peers = 24;
 
 /// One in this many heartbeats is sent to a process, by the kind of heartbeat
 /// and the distance (same zone, same region, another region). Few processes
@@ -198,24 +197,64 @@
 }
 
 std::vector<socket_address>
-peer_directory::region_targets(std::uint64_t heartbeat_number,
-                               heartbeat_kind kind) const
+peer_directory::nearby_addresses(bool zone_only) const
 {
-    std::vector<socket_address> all;
-    std::vector<socket_address> due;
+    std::vector<socket_address> result;
     for (const auto& [name, entry] : peers_)
     {
-        if (distance_to(entry.info) == distance::other_region)
+        const auto way = place_.to(entry.info.zone);
+        if (way == distance::same_zone ||
+            (!zone_only && way == distance::same_region))
+        {
+            result.push_back(entry.info.address);
+        }
+    }
+    return result.size() <= max_nearby_peers ? result
+                                             : std::vector<socket_address>();
+}
+
+std::vector<socket_address>
+peer_directory::relay_addresses(std::uint64_t key) const
+{
+    struct relay final
+    {
+        const peer* process;
+        std::uint64_t rank;
+    };
+    absl::flat_hash_map<std::string_view, relay> relays;
+    for (const auto& [name, entry] : peers_)
+    {
+        if (place_.to(entry.info.zone) != distance::other_region ||
+            entry.suspected || entry.info.stopping)
         {
             continue;
         }
-        all.push_back(entry.info.address);
-        if (heartbeat_number % heartbeat_stride(entry.info, kind) == 0)
+        const auto rank = stable_hash(name, key);
+        const auto [found, added] =
+            relays.try_emplace(entry.info.zone, relay{&entry.info, rank});
+        if (!added && rank > found->second.rank)
         {
-            due.push_back(entry.info.address);
+            found->second = {&entry.info, rank};
         }
     }
-    return all.size() <= max_region_peers_at_full_rate ? all : due;
+    std::vector<socket_address> result;
+    for (const auto& [zone, relay] : relays)
+    {
+        result.push_back(relay.process->address);
+    }
+    return result;
+}
+
+bool peer_directory::is_nearby(const socket_address& address) const
+{
+    return std::any_of(peers_.begin(), peers_.end(),
+                       [&](const auto& each)
+                       {
+                           const peer& info = each.second.info;
+                           return info.address == address &&
+                                  place_.to(info.zone) !=
+                                      distance::other_region;
+                       });
 }
 
 void peer_directory::suspect(const std::string& name)
--- a/src/process/peer_directory.hpp
+++ b/src/process/peer_directory.hpp
@@ -85,10 +85,16 @@
     heartbeat_targets(std::uint64_t heartbeat_number,
                       heartbeat_kind kind) const;
 
-    /// Returns the addresses of the peers in the own region, also of those that
-    /// the heartbeat with this number is not sent to if they are few.
-    std::vector<socket_address> region_targets(std::uint64_t heartbeat_number,
-                                               heartbeat_kind kind) const;
+    /// Returns the addresses of the peers in the own region, or only in the own
+    /// zone; none if they are too many to be told of single requests.
+    std::vector<socket_address> nearby_addresses(bool zone_only) const;
+
+    /// Returns the address of one peer in each zone of other regions, chosen by
+    /// rendezvous hashing of the key.
+    std::vector<socket_address> relay_addresses(std::uint64_t key) const;
+
+    /// Returns whether a peer with this address is in the own region.
+    bool is_nearby(const socket_address& address) const;
 
     /// Returns the mean number of peers that a heartbeat is sent to.
     double mean_heartbeat_targets(heartbeat_kind kind) const;
--- a/src/request/direct_balancer.cpp
+++ b/src/request/direct_balancer.cpp
@@ -146,8 +146,9 @@
         for (std::size_t i = 0; i < servers.size(); ++i)
         {
             const auto& id = servers[i]->id;
-            if (!excluded_ids.contains(id) &&
-                !(respects_ejections && is_ejected(id, now)))
+            const bool excluded =
+                !excluded_ids.empty() && excluded_ids.contains(id);
+            if (!excluded && !(respects_ejections && is_ejected(id, now)))
             {
                 costs_[i] = 0;
                 any = true;
@@ -166,7 +167,9 @@
                 const backend_server& server = *servers[i];
                 costs_[i] =
                     prompt_cost_ms(server, preferences, prefix, now) -
-                    (limited_ids.contains(server.id) ? limited_gain_ms : 0);
+                    (!limited_ids.empty() && limited_ids.contains(server.id)
+                         ? limited_gain_ms
+                         : 0);
                 lowest_cost = std::min(lowest_cost, costs_[i]);
             }
         }
@@ -432,7 +435,7 @@
 bool direct_balancer::is_ejected(const std::string& server,
                                  boot_clock::time_point now) const
 {
-    if (!failing_.contains(server))
+    if (failing_.empty() || !failing_.contains(server))
     {
         return false;
     }
--- a/src/request/prompt_work.cpp
+++ b/src/request/prompt_work.cpp
@@ -12,6 +12,13 @@
 /// Number of servers in a report; few have long work of one process.
 constexpr std::size_t max_reported_servers = 12;
 
+/// Prompts of at least this size are told to others at once: shorter ones are
+/// read before the others could act on it.
+constexpr double min_told_tokens = 1000;
+
+/// Size of a single prompt that others believe, relative to the usual one.
+constexpr double max_told_prompt_ratio = 4;
+
 /// A report that was not renewed for this time counts for nothing.
 constexpr milliseconds max_report_age{1000};
 
@@ -75,13 +82,22 @@
 bool prompt_work::is_cached(std::uint64_t server, std::uint64_t prefix,
                             boot_clock::time_point now) const
 {
-    const auto found = cached_.find(cache_key(server, prefix));
+    const auto key = cache_key(server, prefix);
+    if (!cached_bits_[key % cached_bits_.size()])
+    {
+        return false;
+    }
+    const auto found = cached_.find(key);
     return found != cached_.end() && now - found->second < cache_lifetime;
 }
 
 precise_milliseconds prompt_work::wait(std::uint64_t server,
                                        boot_clock::time_point now) const
 {
+    if (!server_bits_[server % server_bits_.size()])
+    {
+        return precise_milliseconds(0);
+    }
     precise_milliseconds result = read_time(reported_tokens(server, now));
     const auto found = servers_.find(server);
     if (found != servers_.end())
@@ -94,6 +110,10 @@
 
 std::uint32_t prompt_work::running(std::uint64_t server) const
 {
+    if (!server_bits_[server % server_bits_.size()])
+    {
+        return 0;
+    }
     const auto found = servers_.find(server);
     return found == servers_.end() ? 0 : found->second.running;
 }
@@ -117,11 +137,16 @@
     result.expected = result.wait + read_time(result.tokens) + distance +
                       precise_milliseconds(overhead_ms);
     typical_tokens_ += size_weight * (result.tokens - typical_tokens_);
+    server_bits_.set(server % server_bits_.size());
     server_record& record = servers_[server];
     record.level_tokens = own_tokens(record, now) + result.tokens;
     record.level_time = now;
     record.sent_tokens += result.tokens;
     ++record.waiting;
+    if (on_long_prompt_ && result.tokens >= min_told_tokens)
+    {
+        on_long_prompt_({server, static_cast<std::uint32_t>(result.tokens)});
+    }
     return result;
 }
 
@@ -151,7 +176,9 @@
         {
             cached_.clear();
         }
-        cached_[cache_key(prompt.server, prompt.prefix)] = now;
+        const auto key = cache_key(prompt.server, prompt.prefix);
+        cached_[key] = now;
+        cached_bits_.set(key % cached_bits_.size());
     }
 }
 
@@ -212,15 +239,7 @@
         known == authors_.end() ? authors_[id] : known->second;
     for (const std::uint64_t server : record.servers)
     {
-        auto& parts = reported_[server];
-        parts.erase(std::remove_if(parts.begin(), parts.end(),
-                                   [id](const reported_work& part)
-                                   { return part.author == id; }),
-                    parts.end());
-        if (parts.empty())
-        {
-            reported_.erase(server);
-        }
+        remove_reported(id, server);
     }
     record.servers.clear();
     record.last = now;
@@ -239,11 +258,49 @@
             break;
         }
         record.servers.push_back(entry.server);
+        server_bits_.set(entry.server % server_bits_.size());
         reported_[entry.server].push_back(
             {id, std::min(limit, entry.tokens * trusted), now});
     }
 }
 
+void prompt_work::add_reported(std::string_view author,
+                               const server_prompt_work& work,
+                               boot_clock::time_point now)
+{
+    const std::uint64_t id = stable_hash(author);
+    author_record& record = authors_[id];
+    record.last = now;
+    if (record.servers.size() == max_reported_servers)
+    {
+        remove_reported(id, record.servers.front());
+        record.servers.erase(record.servers.begin());
+    }
+    record.servers.push_back(work.server);
+    server_bits_.set(work.server % server_bits_.size());
+    const double limit = max_told_prompt_ratio * typical_tokens_;
+    reported_[work.server].push_back(
+        {id, std::min<double>(limit, work.tokens), now});
+}
+
+void prompt_work::remove_reported(std::uint64_t author, std::uint64_t server)
+{
+    const auto found = reported_.find(server);
+    if (found == reported_.end())
+    {
+        return;
+    }
+    auto& parts = found->second;
+    parts.erase(std::remove_if(parts.begin(), parts.end(),
+                               [author](const reported_work& part)
+                               { return part.author == author; }),
+                parts.end());
+    if (parts.empty())
+    {
+        reported_.erase(found);
+    }
+}
+
 void prompt_work::expire(boot_clock::time_point now)
 {
     absl::erase_if(servers_,
@@ -269,6 +326,20 @@
         });
     absl::erase_if(cached_, [now](const auto& entry)
                    { return now - entry.second > cache_lifetime; });
+    server_bits_.reset();
+    cached_bits_.reset();
+    for (const auto& [server, record] : servers_)
+    {
+        server_bits_.set(server % server_bits_.size());
+    }
+    for (const auto& [server, parts] : reported_)
+    {
+        server_bits_.set(server % server_bits_.size());
+    }
+    for (const auto& [key, time] : cached_)
+    {
+        cached_bits_.set(key % cached_bits_.size());
+    }
 }
 
 double prompt_work::unread_tokens(boot_clock::time_point now) const
--- a/src/request/prompt_work.hpp
+++ b/src/request/prompt_work.hpp
@@ -5,8 +5,10 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/inlined_vector.h>
 
+#include <bitset>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string_view>
 #include <vector>
 
@@ -74,6 +76,9 @@
     precise_milliseconds wait(std::uint64_t server,
                               boot_clock::time_point now) const;
 
+    /// Returns whether nothing is known of any server.
+    bool empty() const { return servers_.empty() && reported_.empty(); }
+
     /// Returns the number of streams of this process that a server runs.
     std::uint32_t running(std::uint64_t server) const;
 
@@ -92,6 +97,17 @@
     /// number of servers, those with the most tokens first.
     std::vector<server_prompt_work> report(boot_clock::time_point now) const;
 
+    /// Sets a function that is called when this process sends a prompt that is
+    /// long enough to be told to others at once.
+    void set_listener(std::function<void(const server_prompt_work&)> listener)
+    {
+        on_long_prompt_ = std::move(listener);
+    }
+
+    /// Adds a prompt that another process told of when it sent it.
+    void add_reported(std::string_view author, const server_prompt_work& work,
+                      boot_clock::time_point now);
+
     /// Replaces what another process reported.
     void merge(std::string_view author,
                const std::vector<server_prompt_work>& work,
@@ -135,6 +151,7 @@
                                          boot_clock::time_point now);
     void learn_rate(const sent_prompt& prompt, precise_milliseconds time);
     double trusted_fraction(double total_tokens);
+    void remove_reported(std::uint64_t author, std::uint64_t server);
 
     absl::flat_hash_map<std::uint64_t, server_record> servers_;
     absl::flat_hash_map<std::uint64_t, absl::InlinedVector<reported_work, 2>>
@@ -144,6 +161,12 @@
         cached_;                 ///< by server and prefix
     std::vector<double> totals_; ///< scratch space
 
+    /// Lower bits of the keys of servers_ and reported_, and of cached_. A
+    /// choice asks for many servers, few of which have work.
+    std::bitset<1U << 12U> server_bits_;
+    std::bitset<1U << 16U> cached_bits_;
+    std::function<void(const server_prompt_work&)> on_long_prompt_;
+
     /// Regression of the time to the first event on the tokens read before it.
     double mean_tokens_;
     double mean_ms_;
