Merge the choice of model servers by prompts

Cause: long prompts hold up short ones on the same server; the part was built beside the regions and cold servers.

--- a/src/connection/peer_heartbeats.cpp
+++ b/src/connection/peer_heartbeats.cpp
@@ -5,6 +5,7 @@
 #include "connection/listening_socket.hpp"
 #include "connection/prompt_guard.hpp"
 #include "connection/prompt_message.hpp"
+#include "connection/prompt_work_message.hpp"
 #include "connection/server_limit_guard.hpp"
 #include "connection/service_task.hpp"
 #include "connection/stage_dispatcher.hpp"
@@ -56,15 +57,14 @@
 
 } // namespace
 
-peer_heartbeats::peer_heartbeats(asio::io_context& io, peer_directory& peers,
-                                 stage_dispatcher& stages,
-                                 prompt_guard& prompts,
-                                 server_limit_guard& limits,
-                                 std::vector<std::string> seeds,
-                                 std::function<void()> changed,
-                                 metrics_registry& metrics)
+peer_heartbeats::peer_heartbeats(
+    asio::io_context& io, peer_directory& peers, stage_dispatcher& stages,
+    prompt_guard& prompts, server_limit_guard& limits, prompt_work& prompt_work,
+    std::vector<std::string> seeds, std::function<void()> changed,
+    metrics_registry& metrics)
     : io_(io), peers_(peers), stages_(stages), prompts_(prompts),
-      limits_(limits), seeds_(std::move(seeds)), changed_(std::move(changed)),
+      limits_(limits), prompt_work_(prompt_work), seeds_(std::move(seeds)),
+      changed_(std::move(changed)),
       sent_(metrics.counter("mangolink_beats_total", "how=\"sent\"")),
       received_(metrics.counter("mangolink_beats_total", "how=\"received\"")),
       invalid_(metrics.counter("mangolink_beats_total", "how=\"unreadable\"")),
@@ -77,11 +77,16 @@
     socket_.open(endpoint.protocol());
     socket_.bind(endpoint);
     socket_.non_blocking(true);
+    prompt_work_.set_listener([this](const server_prompt_work& work)
+                              { tell_prompt(work); });
     spawn_service(io_, "heartbeat receiver", [this] { return receive_loop(); });
     spawn_service(io_, "heartbeat sender", [this] { return send_loop(); });
 }
 
-peer_heartbeats::~peer_heartbeats() = default;
+peer_heartbeats::~peer_heartbeats()
+{
+    prompt_work_.set_listener(nullptr);
+}
 
 void peer_heartbeats::set_seeds(std::vector<std::string> seeds)
 {
@@ -110,19 +115,73 @@
     const auto load_reports = stages_.load_reports();
     kind_ =
         load_reports.empty() ? heartbeat_kind::liveness : heartbeat_kind::load;
-    const std::string bytes = encode(load_reports);
-    for (const auto& address :
-         peers_.heartbeat_targets(heartbeat_number, kind_))
+    auto heartbeat = compose(load_reports);
+    const std::string bytes = heartbeat.SerializeAsString();
+    const auto targets = peers_.heartbeat_targets(heartbeat_number, kind_);
+    const auto now = boot_clock::now();
+    prompt_work_.expire(now);
+    const auto work = prompt_work_.report(now);
+    std::string bytes_nearby;
+    if (!work.empty())
     {
-        error_code error;
-        const asio::ip::udp::endpoint to(
-            asio::ip::make_address(address.host, error), address.port);
-        socket_.send_to(asio::buffer(bytes), to, 0, error);
-        // A failed send is not retried; the next heartbeat replaces it.
-        sent_.add(error ? 0 : 1);
+        write_prompt_work(work, heartbeat);
+        bytes_nearby = heartbeat.SerializeAsString();
+    }
+    for (const auto& address : targets)
+    {
+        // In another region the report would come too late.
+        const bool with_work = !work.empty() && peers_.is_nearby(address);
+        send_datagram(address, with_work ? bytes_nearby : bytes);
+    }
+}
+
+void peer_heartbeats::tell_prompt(const server_prompt_work& work)
+{
+    wire::gateway_heartbeat message;
+    message.set_name(peers_.self().name);
+    write_prompt_work({work}, message);
+    const std::string bytes = message.SerializeAsString();
+    for (const auto& address : peers_.nearby_addresses(false))
+    {
+        send_datagram(address, bytes);
+    }
+    message.mutable_prompt_work()->set_relay(true);
+    const std::string bytes_to_relay = message.SerializeAsString();
+    for (const auto& address : peers_.relay_addresses(work.server))
+    {
+        send_datagram(address, bytes_to_relay);
     }
 }
 
+void peer_heartbeats::process_prompt(wire::gateway_heartbeat& message)
+{
+    const auto now = boot_clock::now();
+    for (const auto& work : read_prompt_work(message))
+    {
+        prompt_work_.add_reported(message.name(), work, now);
+    }
+    if (message.prompt_work().relay())
+    {
+        message.mutable_prompt_work()->set_relay(false);
+        const std::string bytes = message.SerializeAsString();
+        for (const auto& address : peers_.nearby_addresses(true))
+        {
+            send_datagram(address, bytes);
+        }
+    }
+}
+
+void peer_heartbeats::send_datagram(const socket_address& address,
+                                    const std::string& bytes)
+{
+    error_code error;
+    const asio::ip::udp::endpoint to(
+        asio::ip::make_address(address.host, error), address.port);
+    socket_.send_to(asio::buffer(bytes), to, 0, error);
+    // A failed send is not retried; the next heartbeat replaces it.
+    sent_.add(error ? 0 : 1);
+}
+
 asio::awaitable<void> peer_heartbeats::receive_loop()
 {
     while (true)
@@ -198,6 +257,15 @@
         invalid_.add();
         return;
     }
+    if (heartbeat.has_prompt_work() && heartbeat.address().empty() &&
+        !heartbeat.name().empty())
+    {
+        if (!delayed)
+        {
+            process_prompt(heartbeat);
+        }
+        return;
+    }
     const auto address = socket_address::parse(heartbeat.address());
     if (!address || heartbeat.name().empty() || heartbeat.incarnation() == 0)
     {
@@ -228,6 +296,7 @@
     if (!delayed)
     {
         merge_prompts(heartbeat);
+        prompt_work_.merge(heartbeat.name(), read_prompt_work(heartbeat), now);
     }
     limits_.merge(heartbeat, delayed);
     if (change == peer_change::none)
@@ -260,8 +329,8 @@
     }
 }
 
-std::string
-peer_heartbeats::encode(const std::vector<named_load_report>& load_reports)
+wire::gateway_heartbeat
+peer_heartbeats::compose(const std::vector<named_load_report>& load_reports)
 {
     const peer& self = peers_.self();
     wire::gateway_heartbeat heartbeat;
@@ -297,7 +366,7 @@
             heartbeat.add_known(address.text());
         }
     }
-    return heartbeat.SerializeAsString();
+    return heartbeat;
 }
 
 void peer_heartbeats::add_seed_addresses(boot_clock::time_point now)
--- a/src/process/peer_directory.cpp
+++ b/src/process/peer_directory.cpp
@@ -18,6 +18,9 @@
 /// costs more than up-to-date load data of remote servers is worth.
 constexpr std::size_t max_peers_at_full_rate = 8;
 
+/// Up to this number of nearby peers are told of single requests.
+constexpr std::size_t max_nearby_peers = 24;
+
 /// One in this many heartbeats is sent to a process, by the kind of heartbeat
 /// and the distance (same zone, same region, another region). Few processes
 /// send load reports, by which all others choose between zones.
@@ -193,6 +196,67 @@
     return result;
 }
 
+std::vector<socket_address>
+peer_directory::nearby_addresses(bool zone_only) const
+{
+    std::vector<socket_address> result;
+    for (const auto& [name, entry] : peers_)
+    {
+        const auto way = place_.to(entry.info.zone);
+        if (way == distance::same_zone ||
+            (!zone_only && way == distance::same_region))
+        {
+            result.push_back(entry.info.address);
+        }
+    }
+    return result.size() <= max_nearby_peers ? result
+                                             : std::vector<socket_address>();
+}
+
+std::vector<socket_address>
+peer_directory::relay_addresses(std::uint64_t key) const
+{
+    struct relay final
+    {
+        const peer* process;
+        std::uint64_t rank;
+    };
+    absl::flat_hash_map<std::string_view, relay> relays;
+    for (const auto& [name, entry] : peers_)
+    {
+        if (place_.to(entry.info.zone) != distance::other_region ||
+            entry.suspected || entry.info.stopping)
+        {
+            continue;
+        }
+        const auto rank = stable_hash(name, key);
+        const auto [found, added] =
+            relays.try_emplace(entry.info.zone, relay{&entry.info, rank});
+        if (!added && rank > found->second.rank)
+        {
+            found->second = {&entry.info, rank};
+        }
+    }
+    std::vector<socket_address> result;
+    for (const auto& [zone, relay] : relays)
+    {
+        result.push_back(relay.process->address);
+    }
+    return result;
+}
+
+bool peer_directory::is_nearby(const socket_address& address) const
+{
+    return std::any_of(peers_.begin(), peers_.end(),
+                       [&](const auto& each)
+                       {
+                           const peer& info = each.second.info;
+                           return info.address == address &&
+                                  place_.to(info.zone) !=
+                                      distance::other_region;
+                       });
+}
+
 void peer_directory::suspect(const std::string& name)
 {
     const auto found = peers_.find(name);
