--- a/src/process/backend_directory.cpp
+++ b/src/process/backend_directory.cpp
@@ -19,7 +19,8 @@
 } // namespace
 
 backend_directory::backend_directory(milliseconds suspicion_timeout,
-                                     placement place, region_table regions)
+                                     placement place,
+                                     const region_table& regions)
     : suspicion_timeout_(suspicion_timeout), by_service_(regions),
       groups_(std::move(place), regions)
 {
--- a/src/process/backend_directory.hpp
+++ b/src/process/backend_directory.hpp
@@ -44,7 +44,8 @@
     /// rules of the platform, a leaving server must get no more work. `place`
     /// is that of this process.
     explicit backend_directory(milliseconds suspicion_timeout,
-                               placement place = {}, region_table regions = {});
+                               placement place = {},
+                               const region_table& regions = {});
 
     /// Adds or updates a server. An outdated entry is ignored.
     directory_change put(backend_server server);
