Let the stage servers of a group share their waiting items

Late items of the last stage hold the results of the stages before. A new owner takes a server's memory to be empty; 629 of 927 items without room came within 4 s of such a change.

Change: a backlog a group, from which the first server that is able takes items; late items beyond the next calls leave; a new owner starts from the last load report and queries the memory. Only where servers are on shared machines.

--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -64,9 +64,24 @@
         return_items(items, stage_item_outcome::unsent);
         return;
     }
+    if (shares_backlogs())
+    {
+        for (const auto& member :
+             state_.directory().groups().members(*entry->server))
+        {
+            find_or_add_entry(member->id);
+        }
+    }
     entry->queue.add(task);
     update_router(*entry, server);
-    schedule_processing(*entry);
+    if (entry->queue.can_begin_call(boot_clock::now()))
+    {
+        schedule_processing(*entry);
+    }
+    else
+    {
+        wake_siblings(*entry);
+    }
 }
 
 void stage_caller::enqueue_release(const std::string& server,
@@ -149,8 +164,107 @@
     {
         return nullptr;
     }
-    auto entry = std::make_unique<server_entry>(known_server, *pool_parameters);
-    return entries_.emplace(server, std::move(entry)).first->second.get();
+    auto& entry = *entries_
+                       .emplace(server, std::make_unique<server_entry>(
+                                            known_server, *pool_parameters,
+                                            backlog_for(*known_server)))
+                       .first->second;
+    const auto report = router_.load_report_of(server, boot_clock::now());
+    if (report && shares_backlogs())
+    {
+        // Another process made the calls so far; its results remain.
+        entry.queue.memory().report_free(report->free_bytes, boot_clock::now());
+        query_memory(entry);
+    }
+    return &entry;
+}
+
+std::shared_ptr<stage_backlog>
+stage_caller::backlog_for(const backend_server& server)
+{
+    auto backlog = std::make_shared<stage_backlog>();
+    if (!shares_backlogs())
+    {
+        return backlog;
+    }
+    backlog->limits_late_items = true;
+    for (const auto& member : state_.directory().groups().members(server))
+    {
+        const auto found = entries_.find(member->id);
+        if (found != entries_.end() && found->second->server)
+        {
+            return found->second->queue.backlog();
+        }
+    }
+    return backlog;
+}
+
+bool stage_caller::shares_backlogs() const
+{
+    return state_.has_shared_machines();
+}
+
+template <typename Action>
+void stage_caller::for_each_sibling(const server_entry& entry, Action action)
+{
+    if (entry.queue.backlog().use_count() <= 1)
+    {
+        return;
+    }
+    for (auto& [id, other] : entries_)
+    {
+        if (other.get() != &entry &&
+            other->queue.shares_backlog_with(entry.queue))
+        {
+            action(*other);
+        }
+    }
+}
+
+void stage_caller::wake_siblings(const server_entry& entry)
+{
+    const auto now = boot_clock::now();
+    for_each_sibling(entry,
+                     [&](server_entry& sibling)
+                     {
+                         if (sibling.server &&
+                             sibling.queue.can_begin_call(now))
+                         {
+                             schedule_processing(sibling);
+                         }
+                     });
+}
+
+void stage_caller::give_up_waiting(server_entry& entry)
+{
+    bool usable = false;
+    for_each_sibling(entry,
+                     [&](server_entry& sibling)
+                     {
+                         usable =
+                             usable || (sibling.server &&
+                                        load_report_of(sibling).ejected_for ==
+                                            milliseconds(0));
+                     });
+    if (usable)
+    {
+        wake_siblings(entry);
+    }
+    else
+    {
+        return_items(entry.queue.remove_all(), stage_item_outcome::unsent);
+    }
+}
+
+void stage_caller::record_free_memory(const std::string& server,
+                                      std::uint64_t bytes)
+{
+    const auto found = entries_.find(server);
+    if (shares_backlogs() && found != entries_.end() && found->second->server &&
+        !owns_(*found->second->server))
+    {
+        found->second->queue.memory().report_free(bytes, boot_clock::now());
+    }
 }
 
 void stage_caller::schedule_processing(server_entry& entry)
@@ -180,10 +294,16 @@
 {
     const auto now = boot_clock::now();
     const auto load_report = load_report_of(entry);
-    if (!entry.server || (load_report.ejected_for > milliseconds(0) &&
-                          has_alternative(*entry.server)))
+    if (!entry.server)
     {
-        return_items(entry.queue.remove_all(), stage_item_outcome::unsent);
+        give_up_waiting(entry);
+        entry.queue.leave_backlog();
+        return {};
+    }
+    if (load_report.ejected_for > milliseconds(0) &&
+        has_alternative(*entry.server))
+    {
+        give_up_waiting(entry);
         return {};
     }
     if (load_report.ejected_for > milliseconds(0))
@@ -210,6 +330,10 @@
                                   std::max(*wait, load_report.ejected_for));
     }
     update_router(entry, entry.server->id);
+    if (!call.items.empty() && entry.queue.has_waiting_items())
+    {
+        wake_siblings(entry);
+    }
     return call;
 }
 
@@ -277,6 +401,16 @@
 {
     router_.update_load_report(server, load_report_of(entry),
                                boot_clock::now());
+    for_each_sibling(entry,
+                     [&](server_entry& sibling)
+                     {
+                         if (sibling.server)
+                         {
+                             router_.update_load_report(sibling.server->id,
+                                                        load_report_of(sibling),
+                                                        boot_clock::now());
+                         }
+                     });
 }
 
 bool stage_caller::has_alternative(const backend_server& server) const
@@ -394,7 +528,7 @@
 {
     static constexpr const char* names[] = {"made",    "late",   "no_input",
                                             "no_room", "failed", "unsent"};
-    bool out_of_memory = false;
+    std::optional<std::uint64_t> too_large; ///< smallest without room
     for (std::size_t i = 0; i < items.size(); ++i)
     {
         const auto& task = *items[i].task;
@@ -410,8 +544,11 @@
         }
         else
         {
-            out_of_memory =
-                out_of_memory || answer.end == stage_item_outcome::no_room;
+            if (answer.end == stage_item_outcome::no_room)
+            {
+                too_large = std::min(too_large.value_or(task.result_bytes),
+                                     task.result_bytes);
+            }
             const std::string end = names[static_cast<std::size_t>(answer.end)];
             metrics_
                 .counter("mangolink_stage_pieces_failed_total",
@@ -435,16 +572,23 @@
             release_({answer.handle});
         }
     }
-    if (out_of_memory)
+    if (too_large)
     {
-        // No call is made until the server has reported its free memory.
-        entry.queue.memory().report_free(0, boot_clock::now());
-        if (!entry.memory_query_pending)
-        {
-            entry.memory_query_pending = true;
-            asio::co_spawn(io_, query_free_memory(entry),
-                           failure_log("memory query"));
-        }
+        // Until the server has reported its free memory, only smaller results
+        // are expected to fit.
+        entry.queue.memory().report_free(shares_backlogs() ? *too_large / 2 : 0,
+                                         boot_clock::now());
+        query_memory(entry);
+    }
+}
+
+void stage_caller::query_memory(server_entry& entry)
+{
+    if (!entry.memory_query_pending)
+    {
+        entry.memory_query_pending = true;
+        asio::co_spawn(io_, query_free_memory(entry),
+                       failure_log("memory query"));
     }
 }
 
--- a/src/connection/stage_caller.hpp
+++ b/src/connection/stage_caller.hpp
@@ -69,13 +69,18 @@
     /// Updates the entries after a change of the server directory.
     void servers_changed();
 
+    /// Takes over the free memory that another process reports for a server,
+    /// since it makes the server's calls.
+    void record_free_memory(const std::string& server, std::uint64_t bytes);
+
 private:
     struct server_entry final
     {
         server_entry(std::shared_ptr<const backend_server> known_server,
-                     const stage_pool_parameters& pool_parameters)
+                     const stage_pool_parameters& pool_parameters,
+                     std::shared_ptr<stage_backlog> backlog)
             : server(std::move(known_server)), started_ms(server->started_ms),
-              queue(pool_parameters)
+              queue(pool_parameters, std::move(backlog))
         {
         }
         std::shared_ptr<const backend_server> server; ///< null: removed
@@ -97,6 +102,22 @@
 
     server_entry* find_or_add_entry(const std::string& server);
 
+    /// Returns whether the servers of a group share their waiting items.
+    bool shares_backlogs() const;
+    std::shared_ptr<stage_backlog> backlog_for(const backend_server& server);
+
+    /// Applies an action to the entries with the same backlog, without this
+    /// one.
+    template <typename Action>
+    void for_each_sibling(const server_entry& entry, Action action);
+
+    /// Lets the idle servers with the same backlog process it.
+    void wake_siblings(const server_entry& entry);
+
+    /// Returns the items that wait for this server as unsent, unless another
+    /// server with the same backlog can process them.
+    void give_up_waiting(server_entry& entry);
+
     /// Processes the queue after the handlers that are pending now, so that one
     /// call can hold all tasks that they add.
     void schedule_processing(server_entry& entry);
@@ -139,6 +160,7 @@
     void log_call(const server_entry& entry, std::size_t items,
                   milliseconds duration, const stage_call_result& result);
     asio::awaitable<void> release_results(server_entry& entry);
+    void query_memory(server_entry& entry);
     asio::awaitable<void> query_free_memory(server_entry& entry);
 
     asio::io_context& io_;
--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -134,6 +134,7 @@
         state_.mark_shared_machines();
     }
     router_.update_load_report(server, load_report, boot_clock::now());
+    caller_.record_free_memory(server, load_report.free_bytes);
 }
 
 std::vector<named_load_report> stage_dispatcher::load_reports()
--- a/src/request/stage_queue.cpp
+++ b/src/request/stage_queue.cpp
@@ -31,9 +31,11 @@
 
 } // namespace
 
-stage_queue::stage_queue(const stage_pool_parameters& parameters)
+stage_queue::stage_queue(const stage_pool_parameters& parameters,
+                         std::shared_ptr<stage_backlog> backlog)
     : parameters_(parameters),
-      memory_(parameters.result_memory_bytes, parameters.result_lifetime)
+      memory_(parameters.result_memory_bytes, parameters.result_lifetime),
+      backlog_(std::move(backlog))
 {
 }
 
@@ -48,23 +50,29 @@
 {
     for (const auto index : task->items)
     {
-        queue_.push_back({task, index});
+        backlog_->items.push_back({task, index});
     }
 }
 
+bool stage_queue::can_begin_call(boot_clock::time_point now) const
+{
+    return calls_ < std::max(1U, parameters_.parallel_calls) &&
+           now >= ejected_until_;
+}
+
 std::vector<waiting_item> stage_queue::begin_call(boot_clock::time_point now)
 {
     std::vector<waiting_item> batch;
-    if (queue_.empty() || calls_ >= std::max(1U, parameters_.parallel_calls) ||
-        now < ejected_until_)
+    auto& waiting = backlog_->items;
+    if (waiting.empty() || !can_begin_call(now))
     {
         return batch;
     }
     const auto duration = expected_duration(
-        std::min<std::size_t>(parameters_.batch_size, queue_.size()));
+        std::min<std::size_t>(parameters_.batch_size, waiting.size()));
     const auto expected_end = now + duration;
     std::stable_sort(
-        queue_.begin(), queue_.end(),
+        waiting.begin(), waiting.end(),
         [expected_end](const waiting_item& a, const waiting_item& b)
         {
             const bool a_late = a.task->due < expected_end;
@@ -73,7 +81,7 @@
         });
     auto free = memory_.free(now);
     std::vector<waiting_item> remaining;
-    for (auto& item : queue_)
+    for (auto& item : waiting)
     {
         const auto bytes = item.task->result_bytes;
         if (batch.size() < parameters_.batch_size && bytes <= free)
@@ -87,7 +95,7 @@
             remaining.push_back(std::move(item));
         }
     }
-    queue_ = std::move(remaining);
+    waiting = std::move(remaining);
     if (!batch.empty())
     {
         ++calls_;
@@ -101,11 +109,13 @@
 {
     std::vector<waiting_item> expired;
     const auto earliest_end = now + expected_duration(1);
-    const auto in_time_count = std::count_if(queue_.begin(), queue_.end(),
-                                             [now](const waiting_item& item)
-                                             { return item.task->due >= now; });
-    const bool full_batch_in_time = in_time_count >= parameters_.batch_size;
-    std::erase_if(queue_,
+    auto& waiting = backlog_->items;
+    const auto in_time_count = static_cast<std::size_t>(std::count_if(
+        waiting.begin(), waiting.end(),
+        [now](const waiting_item& item) { return item.task->due >= now; }));
+    const bool full_batch_in_time =
+        in_time_count >= parameters_.batch_size * server_count();
+    std::erase_if(waiting,
                   [&](const waiting_item& item)
                   {
                       const bool yields = full_batch_in_time &&
@@ -119,9 +129,43 @@
                       }
                       return drop;
                   });
+    if (backlog_->limits_late_items)
+    {
+        remove_late_excess(now, expired);
+    }
     return expired;
 }
 
+void stage_queue::remove_late_excess(boot_clock::time_point now,
+                                     std::vector<waiting_item>& removed)
+{
+    auto& waiting = backlog_->items;
+    const std::size_t places = parameters_.batch_size * server_count();
+    if (waiting.size() <= places)
+    {
+        return;
+    }
+    const auto late_begin = std::stable_partition(
+        waiting.begin(), waiting.end(),
+        [now](const waiting_item& item) { return item.task->due >= now; });
+    const auto in_time = static_cast<std::size_t>(late_begin - waiting.begin());
+    // A result is worth the same at any time between due time and deadline, so
+    // the ones with the least work left are kept.
+    std::stable_sort(late_begin, waiting.end(),
+                     [](const waiting_item& a, const waiting_item& b)
+                     {
+                         return a.task->stages_after != b.task->stages_after
+                                    ? a.task->stages_after <
+                                          b.task->stages_after
+                                    : a.task->due < b.task->due;
+                     });
+    const auto keep = std::max(in_time, places);
+    removed.insert(removed.end(),
+                   waiting.begin() + static_cast<std::ptrdiff_t>(keep),
+                   waiting.end());
+    waiting.resize(keep);
+}
+
 void stage_queue::call_ended(std::size_t item_count,
                              std::uint64_t reserved_bytes, milliseconds took,
                              call_outcome outcome, boot_clock::time_point now)
@@ -161,7 +205,8 @@
 {
     using std::chrono::duration_cast;
     server_load_report report;
-    report.item_count = static_cast<std::uint32_t>(queue_.size());
+    report.item_count = static_cast<std::uint32_t>(
+        (backlog_->items.size() + server_count() - 1) / server_count());
     report.busy = std::max(milliseconds(0),
                            duration_cast<milliseconds>(busy_until_ - now));
     report.slowdown = slowdown_;
@@ -172,6 +217,11 @@
     return report;
 }
 
+std::size_t stage_queue::server_count() const
+{
+    return static_cast<std::size_t>(backlog_.use_count());
+}
+
 milliseconds stage_queue::nominal_duration(std::size_t item_count) const
 {
     return std::chrono::duration_cast<milliseconds>(
--- a/src/request/stage_queue.hpp
+++ b/src/request/stage_queue.hpp
@@ -2,7 +2,7 @@
 
 #include "base/clock.hpp"
 #include "request/result_memory.hpp"
-#include "request/stage_task.hpp"
+#include "request/stage_backlog.hpp"
 #include "version/gateway_service.hpp"
 
 #include <memory>
@@ -14,13 +14,6 @@
 namespace mangolink
 {
 
-/// Item that is queued for a call of a stage server.
-struct waiting_item final
-{
-    std::shared_ptr<const stage_task> task;
-    std::uint32_t index = 0; ///< of the item within its stage
-};
-
 /// How a call of a stage server ended.
 enum class call_outcome : std::uint8_t
 {
@@ -33,7 +26,7 @@
 /// Load of a stage server as reported to the other gateways.
 struct server_load_report final
 {
-    std::uint32_t item_count = 0; ///< number of items queued for a call
+    std::uint32_t item_count = 0; ///< number of items queued for its calls
     milliseconds busy{0};         ///< until the running call is expected to end
     double slowdown = 1; ///< smoothed ratio of measured to nominal call time
     milliseconds ejected_for{0};  ///< receives no calls for this long
@@ -50,11 +43,19 @@
 /// arrived in the meantime. Under load, items that can still meet their due
 /// time are sent first, earliest due time first; remaining slots are filled
 /// with late items. An item is sent only if there is free memory for its
-/// result. Not thread-safe.
+/// result.
+///
+/// Queues with the same backlog share their waiting items: each item goes to
+/// the first server that can make a call and has memory for its result, so that
+/// none waits behind a slow or full server while another one idles. Not
+/// thread-safe.
 class stage_queue final
 {
 public:
-    explicit stage_queue(const stage_pool_parameters& parameters);
+    /// @param backlog  Waiting items of the server, or of its group.
+    explicit stage_queue(const stage_pool_parameters& parameters,
+                         std::shared_ptr<stage_backlog> backlog =
+                             std::make_shared<stage_backlog>());
 
     void configure(const stage_pool_parameters& parameters);
 
@@ -65,14 +66,36 @@
     /// when no call should be made now.
     std::vector<waiting_item> begin_call(boot_clock::time_point now);
 
+    /// Returns whether the server could begin a call if there were items.
+    bool can_begin_call(boot_clock::time_point now) const;
+
     /// Removes and returns the items that cannot be processed before their
     /// deadline or whose client no longer waits. While at least a full batch of
-    /// items is still in time, late items of requests with further stages to
-    /// run are removed too.
+    /// items for each server is still in time, late items of requests with
+    /// further stages to run are removed too. If the backlog limits late items,
+    /// those beyond the next call of each server are removed as well, so that
+    /// they do not hold inputs that block the stages before.
     std::vector<waiting_item> remove_expired(boot_clock::time_point now);
 
     /// Removes and returns all queued items.
-    std::vector<waiting_item> remove_all() { return std::exchange(queue_, {}); }
+    std::vector<waiting_item> remove_all()
+    {
+        return std::exchange(backlog_->items, {});
+    }
+
+    const std::shared_ptr<stage_backlog>& backlog() const { return backlog_; }
+
+    /// Stops sharing waiting items; those of the backlog stay with the others.
+    void leave_backlog() { backlog_ = std::make_shared<stage_backlog>(); }
+
+    /// Returns whether both servers' waiting items are the same.
+    bool shares_backlog_with(const stage_queue& other) const
+    {
+        return backlog_ == other.backlog_;
+    }
+
+    /// Returns whether items wait for a call.
+    bool has_waiting_items() const { return !backlog_->items.empty(); }
 
     /// Records the end of a call: releases the memory reserved for its results,
     /// and updates the slowdown or ejects the server. A silent server is not
@@ -91,15 +114,18 @@
     server_load_report load_report(boot_clock::time_point now);
 
     result_memory& memory() { return memory_; }
-    bool busy() const { return calls_ > 0 || !queue_.empty(); }
+    bool busy() const { return calls_ > 0 || has_waiting_items(); }
 
 private:
     milliseconds nominal_duration(std::size_t item_count) const;
     milliseconds expected_duration(std::size_t item_count) const;
+    std::size_t server_count() const;
+    void remove_late_excess(boot_clock::time_point now,
+                            std::vector<waiting_item>& removed);
 
     stage_pool_parameters parameters_;
     result_memory memory_;
-    std::vector<waiting_item> queue_;
+    std::shared_ptr<stage_backlog> backlog_; ///< held by its queues alone
     std::uint32_t calls_ = 0;
     boot_clock::time_point busy_until_;
     boot_clock::time_point ejected_until_;
--- a/src/request/stage_router.cpp
+++ b/src/request/stage_router.cpp
@@ -33,6 +33,17 @@
     records_[server] = {load_report, now, 0};
 }
 
+std::optional<server_load_report>
+stage_router::load_report_of(const std::string& server,
+                             boot_clock::time_point now) const
+{
+    const auto found = records_.find(server);
+    return found != records_.end() &&
+                   now - found->second.reported_at < load_report_lifetime
+               ? std::optional(found->second.load_report)
+               : std::nullopt;
+}
+
 void stage_router::count_sent_items(const std::string& server,
                                     std::size_t item_count)
 {
--- a/src/request/stage_router.hpp
+++ b/src/request/stage_router.hpp
@@ -10,6 +10,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,11 @@
                             const server_load_report& load_report,
                             boot_clock::time_point now);
 
+    /// Returns the last load report of a server, or nothing if it is too old to
+    /// be used.
+    std::optional<server_load_report>
+    load_report_of(const std::string& server, boot_clock::time_point now) const;
+
     /// Adds items sent to a server since its last load report.
     void count_sent_items(const std::string& server, std::size_t item_count);
 
--- a/tests/unit/stage_queue_test.cpp
+++ b/tests/unit/stage_queue_test.cpp
@@ -70,6 +70,8 @@
     CPPUNIT_TEST(a_silence_does_not_make_a_server_slow);
     CPPUNIT_TEST(a_burst_fills_calls_with_items_in_time);
     CPPUNIT_TEST(another_zone_is_chosen_only_at_lower_cost);
+    CPPUNIT_TEST(servers_of_a_group_share_their_waiting_items);
+    CPPUNIT_TEST(late_items_leave_a_full_group);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -351,6 +353,64 @@
                 });
     }
 
+    /// One server of two is slow or has no memory left, while items wait.
+    void servers_of_a_group_share_their_waiting_items()
+    {
+        auto backlog = std::make_shared<stage_backlog>();
+        stage_queue first(parameters(), backlog);
+        stage_queue second(parameters(), std::move(backlog));
+        first.add(task(client_, 6, now_ + milliseconds(900), 3000));
+        section("a call holds what fits into the memory of its server",
+                [&] { CPPUNIT_ASSERT_EQUAL(std::size_t(3), begin(first)); });
+        section(
+            "each server reports its share of the items", [&]
+            { CPPUNIT_ASSERT_EQUAL(2U, first.load_report(now_).item_count); });
+        section("another server makes the next call while the first is busy",
+                [&]
+                {
+                    CPPUNIT_ASSERT(!first.can_begin_call(now_));
+                    CPPUNIT_ASSERT(second.can_begin_call(now_));
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(3), begin(second));
+                });
+        section("items stay with the others when a server leaves",
+                [&]
+                {
+                    second.add(task(client_, 1, now_ + milliseconds(900)));
+                    second.leave_backlog();
+                    CPPUNIT_ASSERT(!second.has_waiting_items());
+                    CPPUNIT_ASSERT(first.has_waiting_items());
+                });
+    }
+
+    /// More items than the next calls of all servers hold, many of them late.
+    void late_items_leave_a_full_group()
+    {
+        auto backlog = std::make_shared<stage_backlog>();
+        backlog->limits_late_items = true;
+        stage_queue first(parameters(), backlog);
+        stage_queue second(parameters(), std::move(backlog));
+        first.add(task(client_, 5, now_ - milliseconds(10)));
+        first.add(task(client_, 3, now_ + milliseconds(500)));
+        section("late items stay while the next calls have places for them",
+                [&] { CPPUNIT_ASSERT(first.remove_expired(now_).empty()); });
+        first.add(task(client_, 2, now_ + milliseconds(500)));
+        section("beyond that they leave, those in time do not",
+                [&]
+                {
+                    const auto removed = first.remove_expired(now_);
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(2), removed.size());
+                    CPPUNIT_ASSERT(removed[0].task->due < now_);
+                });
+        first.add(task(client_, 9, now_ + milliseconds(500)));
+        section("items in time wait, however many",
+                [&]
+                {
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(3),
+                                         first.remove_expired(now_).size());
+                    CPPUNIT_ASSERT(first.remove_expired(now_).empty());
+                });
+    }
+
 private:
     std::size_t begin(stage_queue& queue)
     {
