Let servers join the backlog of their group at any time

Cause: servers whose first calls were made before the first load of a shared machine arrived kept waiting items of their own.

Change: a task's server and the others of its group join one backlog when the task is queued; their waiting items move along.

--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -66,11 +66,7 @@
     }
     if (shares_backlogs())
     {
-        for (const auto& member :
-             state_.directory().groups().members(*entry->server))
-        {
-            find_or_add_entry(member->id);
-        }
+        join_group(*entry);
     }
     entry->queue.add(task);
     update_router(*entry, server);
@@ -166,8 +162,7 @@
     }
     auto& entry = *entries_
                        .emplace(server, std::make_unique<server_entry>(
-                                            known_server, *pool_parameters,
-                                            backlog_for(*known_server)))
+                                            known_server, *pool_parameters))
                        .first->second;
     const auto report = router_.load_report_of(server, boot_clock::now());
     if (report && shares_backlogs())
@@ -179,24 +174,18 @@
     return &entry;
 }
 
-std::shared_ptr<stage_backlog>
-stage_caller::backlog_for(const backend_server& server)
+void stage_caller::join_group(server_entry& entry)
 {
-    auto backlog = std::make_shared<stage_backlog>();
-    if (!shares_backlogs())
-    {
-        return backlog;
-    }
+    const auto backlog = entry.queue.backlog();
     backlog->limits_late_items = true;
-    for (const auto& member : state_.directory().groups().members(server))
+    for (const auto& member :
+         state_.directory().groups().members(*entry.server))
     {
-        const auto found = entries_.find(member->id);
-        if (found != entries_.end() && found->second->server)
+        if (auto* other = find_or_add_entry(member->id))
         {
-            return found->second->queue.backlog();
+            other->queue.join_backlog(backlog);
         }
     }
-    return backlog;
 }
 
 bool stage_caller::shares_backlogs() const
--- a/src/connection/stage_caller.hpp
+++ b/src/connection/stage_caller.hpp
@@ -77,10 +77,9 @@
     struct server_entry final
     {
         server_entry(std::shared_ptr<const backend_server> known_server,
-                     const stage_pool_parameters& pool_parameters,
-                     std::shared_ptr<stage_backlog> backlog)
+                     const stage_pool_parameters& pool_parameters)
             : server(std::move(known_server)), started_ms(server->started_ms),
-              queue(pool_parameters, std::move(backlog))
+              queue(pool_parameters)
         {
         }
         std::shared_ptr<const backend_server> server; ///< null: removed
@@ -104,7 +103,9 @@
 
     /// Returns whether the servers of a group share their waiting items.
     bool shares_backlogs() const;
-    std::shared_ptr<stage_backlog> backlog_for(const backend_server& server);
+
+    /// Lets the servers of the group of an entry share its waiting items.
+    void join_group(server_entry& entry);
 
     /// Applies an action to the entries with the same backlog, without this
     /// one.
--- a/src/request/stage_queue.cpp
+++ b/src/request/stage_queue.cpp
@@ -1,6 +1,7 @@
 #include "request/stage_queue.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace mangolink
 {
@@ -217,6 +218,17 @@
     return report;
 }
 
+void stage_queue::join_backlog(std::shared_ptr<stage_backlog> backlog)
+{
+    if (backlog == backlog_)
+    {
+        return;
+    }
+    auto items = remove_all();
+    backlog_ = std::move(backlog);
+    std::move(items.begin(), items.end(), std::back_inserter(backlog_->items));
+}
+
 std::size_t stage_queue::server_count() const
 {
     return static_cast<std::size_t>(backlog_.use_count());
--- a/src/request/stage_queue.hpp
+++ b/src/request/stage_queue.hpp
@@ -85,6 +85,9 @@
 
     const std::shared_ptr<stage_backlog>& backlog() const { return backlog_; }
 
+    /// Shares a backlog from now on; the own waiting items are added to it.
+    void join_backlog(std::shared_ptr<stage_backlog> backlog);
+
     /// Stops sharing waiting items; those of the backlog stay with the others.
     void leave_backlog() { backlog_ = std::make_shared<stage_backlog>(); }
 
--- a/tests/unit/stage_queue_test.cpp
+++ b/tests/unit/stage_queue_test.cpp
@@ -372,6 +372,14 @@
                     CPPUNIT_ASSERT(second.can_begin_call(now_));
                     CPPUNIT_ASSERT_EQUAL(std::size_t(3), begin(second));
                 });
+        section("a server that joins the group brings its items",
+                [&]
+                {
+                    stage_queue third(parameters());
+                    third.add(task(client_, 2, now_ + milliseconds(900)));
+                    third.join_backlog(second.backlog());
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(2), begin(third));
+                });
         section("items stay with the others when a server leaves",
                 [&]
                 {
