--- a/src/connection/gateway_server.cpp
+++ b/src/connection/gateway_server.cpp
@@ -10,6 +10,7 @@
 #include "connection/listening_socket.hpp"
 #include "connection/peer_heartbeats.hpp"
 #include "connection/peer_server.hpp"
+#include "connection/placement_page.hpp"
 #include "connection/service_task.hpp"
 #include "connection/update_follower.hpp"
 #include "process/memory_account.hpp"
@@ -148,6 +149,14 @@
     metrics_.gauge(
         "mangolink_open_requests",
         [this] { return static_cast<double>(context_.open_requests.size()); });
+    metrics_.gauge(
+        "mangolink_evacuated_zones", [this]
+        { return static_cast<double>(state_.evacuations().all().size()); });
+    metrics_.gauge("mangolink_cold_servers",
+                   [this] {
+                       return static_cast<double>(
+                           state_.directory().cold(boot_clock::now()));
+                   });
     metrics_.gauge("mangolink_received_bytes",
                    [this] { return static_cast<double>(memory_.used()); });
     metrics_.gauge("mangolink_received_bytes_limit",
@@ -159,6 +168,14 @@
                    { return static_cast<double>(context_.open_callers); });
     metrics_.gauge("mangolink_idle_backend_connections",
                    [this] { return static_cast<double>(connections_.idle()); });
+    metrics_.gauge("mangolink_prompt_tokens_unread",
+                   [this] {
+                       return state_.balancer().prompts().unread_tokens(
+                           boot_clock::now());
+                   });
+    metrics_.gauge(
+        "mangolink_prompt_tokens_per_ms", [this]
+        { return 1 / state_.balancer().prompts().read_time(1).count(); });
     spawn_service(io_, "signals", [this] { return handle_signals(); });
     spawn_service(io_, "periodic tasks",
                   [this] { return run_periodic_tasks(); });
@@ -179,8 +196,8 @@
     peer_server_ = std::make_unique<peer_server>(io_, peers_.self().address,
                                                  stages_, updates_, memory_);
     heartbeats_ = std::make_unique<peer_heartbeats>(
-        io_, peers_, stages_, prompts_, limits_, settings_.seeds,
-        [this] { topology_changed(); }, metrics_);
+        io_, peers_, stages_, prompts_, limits_, state_.balancer().prompts(),
+        settings_.seeds, [this] { topology_changed(); }, metrics_);
     update_follower_ = std::make_unique<update_follower>(
         io_, state_, updater_, peers_, reader_activation_,
         backend_caller(io_, protocol_, connections_, nullptr, memory_),
@@ -365,8 +382,7 @@
             11};
 }
 
-text_response
-gateway_server::operators_response(const text_request& request) const
+text_response gateway_server::operators_response(const text_request& request)
 {
     text_response response(http::status::ok, 11);
     if (request.target() == "/metrics")
@@ -384,6 +400,11 @@
         response.set(http::field::content_type, "application/json");
         response.body() = prompts_.status_text();
     }
+    else if (request.target() == "/placement")
+    {
+        response.set(http::field::content_type, "application/json");
+        response.body() = placement_page(state_, boot_clock::now());
+    }
     else if (request.target() == "/limits")
     {
         response.set(http::field::content_type, "application/json");
@@ -400,18 +421,21 @@
 {
     const auto now = boot_clock::now();
     const auto age = state_.freshness().age(now);
-    nlohmann::json status{{"name", settings_.name},
-                          {"ready", !context_.stopping && state_.ready(now)},
-                          {"stopping", context_.stopping},
-                          {"configuration", state_.configuration_version()},
-                          {"confirmed_ms_ago", age ? age->count() : -1},
-                          {"reads_platform", reader_activation_.is_active()},
-                          {"backend_servers", state_.directory().size()},
-                          {"peers", peers_.size()},
-                          {"quarantined_parts", prompts_.size()},
-                          {"limited_servers", limits_.size()},
-                          {"open_requests", context_.open_requests.size()},
-                          {"open_callers", context_.open_callers}};
+    nlohmann::json status{
+        {"name", settings_.name},
+        {"ready", !context_.stopping && state_.ready(now)},
+        {"stopping", context_.stopping},
+        {"configuration", state_.configuration_version()},
+        {"confirmed_ms_ago", age ? age->count() : -1},
+        {"reads_platform", reader_activation_.is_active()},
+        {"backend_servers", state_.directory().size()},
+        {"evacuated_zones", state_.evacuations().all().size()},
+        {"cold_servers", state_.directory().cold(now)},
+        {"peers", peers_.size()},
+        {"quarantined_parts", prompts_.size()},
+        {"limited_servers", limits_.size()},
+        {"open_requests", context_.open_requests.size()},
+        {"open_callers", context_.open_callers}};
     return status.dump(2) + "\n";
 }
 
--- a/src/roles/gateway_settings.hpp
+++ b/src/roles/gateway_settings.hpp
@@ -34,6 +34,8 @@
     milliseconds retry_window{10'000};
     double retry_slack = 0; ///< shared by all gateways
     prompt_quarantine_settings quarantine;
+    /// Model servers are chosen by the prompts that they have still to read.
+    bool weighs_prompts = false;
     std::uint32_t max_descriptors = 1024;
     double processor_share = 1; ///< in cores
     std::uint64_t memory_bytes = 256ULL * 1024 * 1024;
