--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -190,7 +190,7 @@
 
 bool stage_caller::shares_backlogs() const
 {
-    return state_.has_shared_machines();
+    return state_.shares_stage_backlogs();
 }
 
 template <typename Action>
--- a/src/connection/stage_dispatcher.cpp
+++ b/src/connection/stage_dispatcher.cpp
@@ -129,10 +129,6 @@
 void stage_dispatcher::update_load_report(const std::string& server,
                                           const server_load_report& load_report)
 {
-    if (load_report.work_factor)
-    {
-        state_.mark_shared_machines();
-    }
     router_.update_load_report(server, load_report, boot_clock::now());
     caller_.record_free_memory(server, load_report.free_bytes);
 }
@@ -145,10 +141,6 @@
                   { return owner_of(*report.server) != nullptr; });
     for (const auto& report : all)
     {
-        if (report.load_report.work_factor)
-        {
-            state_.mark_shared_machines();
-        }
         router_.update_load_report(report.server->id, report.load_report, now);
     }
     return all;
--- a/src/roles/gateway_settings.cpp
+++ b/src/roles/gateway_settings.cpp
@@ -50,6 +50,8 @@
         "retries.window_ms", result.retry_window, milliseconds(100), hours(1));
     result.retry_slack =
         reader.number("retries.slack", result.retry_slack, 0, 1e9);
+    result.shares_stage_backlogs = reader.boolean(
+        "balancing.shares_stage_backlogs", result.shares_stage_backlogs);
     result.weighs_prompts =
         reader.boolean("balancing.weighs_prompts", result.weighs_prompts);
     result.quarantine.enabled =
--- a/src/roles/gateway_settings.hpp
+++ b/src/roles/gateway_settings.hpp
@@ -34,6 +34,8 @@
     milliseconds retry_window{10'000};
     double retry_slack = 0; ///< shared by all gateways
     prompt_quarantine_settings quarantine;
+    /// The stage servers of a group share their waiting items.
+    bool shares_stage_backlogs = false;
     /// Model servers are chosen by the prompts that they have still to read.
     bool weighs_prompts = false;
     std::uint32_t max_descriptors = 1024;
--- a/src/roles/gateway_state.hpp
+++ b/src/roles/gateway_state.hpp
@@ -116,10 +116,8 @@
 
     const region_table& regions() const { return regions_; }
 
-    /// Returns whether backend servers share their machines with others, so
-    /// that their speed changes at any moment: one has told so.
-    bool has_shared_machines() const { return shared_machines_; }
-    void mark_shared_machines() { shared_machines_ = true; }
+    /// Returns whether the stage servers of a group share their waiting items.
+    bool shares_stage_backlogs() const { return shares_stage_backlogs_; }
 
     configuration_freshness& freshness() { return freshness_; }
     const configuration_freshness& freshness() const { return freshness_; }
@@ -140,6 +138,7 @@
 
     windowed_retry_budget_settings retry_budget_settings_;
     region_table regions_;
+    bool shares_stage_backlogs_;
     double slack_share_;
     configuration_pointer configuration_;
     configuration_freshness freshness_;
@@ -155,7 +154,6 @@
     prompt_quarantine quarantine_;
     absl::flat_hash_map<std::string, windowed_retry_budget> retry_budgets_;
     bool servers_listed_ = false;
-    bool shared_machines_ = false;
 };
 
 } // namespace mangolink
