Return the items of an ejected stage server at once

Cause: since servers share backlogs, a task for a server that can't begin a call was queued without processing it. At an ejected server without siblings, as with shared backlogs switched off, its items waited for the end of the ejection instead of going elsewhere. Found by reading.

Change: a queued task is processed as before, and idle siblings are woken.

--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -70,11 +70,8 @@
     }
     entry->queue.add(task);
     update_router(*entry, server);
-    if (entry->queue.can_begin_call(boot_clock::now()))
-    {
-        schedule_processing(*entry);
-    }
-    else
+    schedule_processing(*entry);
+    if (!entry->queue.can_begin_call(boot_clock::now()))
     {
         wake_siblings(*entry);
     }
