--- a/tests/unit/allowed_regions_test.cpp
+++ b/tests/unit/allowed_regions_test.cpp
@@ -159,7 +159,7 @@
             gateway_configuration_data data;
             data.version = version;
             data.routes = {make_route(std::move(homes))};
-            const auto next =
+            auto next =
                 std::make_shared<const gateway_configuration>(std::move(data));
             CPPUNIT_ASSERT(state.install(next));
             return next;
@@ -239,6 +239,7 @@
                 const std::vector<backend_directory::server_pointer>& servers)
     {
         std::vector<std::string> ids;
+        ids.reserve(servers.size());
         for (const auto& server : servers)
         {
             ids.push_back(server->id);
--- a/tests/unit/prompt_scheduling_test.cpp
+++ b/tests/unit/prompt_scheduling_test.cpp
@@ -395,6 +395,7 @@
     void a_choice_among_many_servers_is_quick()
     {
         std::vector<server_pointer> servers;
+        servers.reserve(720);
         for (int i = 0; i < 720; ++i)
         {
             servers.push_back(server("i-" + std::to_string(1000003 * i),
