Let the owner of a cold stage server call it

Cause: a cold server's rate was shared among a few gateways by hash, also for stage servers, which only their owner calls: it mostly had no share, and the server's items waited. No deployment has cold stage servers; found by reading.

Change: the owner gets the usable part of the rate, others the usual small one.

--- a/src/request/server_rate_limiter.cpp
+++ b/src/request/server_rate_limiter.cpp
@@ -171,11 +171,9 @@
     if (added || entry.per_second != per_second || entry.role != role ||
         entry.settled != settled || entry.shares_version != shares_.version())
     {
-        entry.share =
-            !is_cold_limited(server, now) ? make_share(server, role, per_second)
-            : settled
-                ? shares_.strict_share(start, per_second * cold_usable_fraction)
-                : limit_share{};
+        entry.share = is_cold_limited(server, now)
+                          ? make_cold_share(start, role, per_second, settled)
+                          : make_share(server, role, per_second);
         entry.per_second = per_second;
         entry.role = role;
         entry.settled = settled;
@@ -195,6 +193,21 @@
                : shares_.owner_share(role == sender_role::owner, per_second);
 }
 
+limit_share server_rate_limiter::make_cold_share(std::uint64_t server_start,
+                                                 sender_role role,
+                                                 double per_second,
+                                                 bool settled) const
+{
+    if (!settled)
+    {
+        return {};
+    }
+    const double usable = per_second * cold_usable_fraction;
+    return role == sender_role::chosen
+               ? shares_.strict_share(server_start, usable)
+               : shares_.owner_share(role == sender_role::owner, usable);
+}
+
 void server_rate_limiter::check_time(boot_clock::time_point now)
 {
     first_time_ = first_time_.value_or(now);
--- a/src/request/server_rate_limiter.hpp
+++ b/src/request/server_rate_limiter.hpp
@@ -116,6 +116,10 @@
     limit_share make_share(const backend_server& server, sender_role role,
                            double per_second) const;
 
+    /// The same for a cold server; none before this process has settled.
+    limit_share make_cold_share(std::uint64_t server_start, sender_role role,
+                                double per_second, bool settled) const;
+
     /// Removes all tokens if the process was suspended.
     void check_time(boot_clock::time_point now);
 
--- a/tests/unit/server_rate_limiter_test.cpp
+++ b/tests/unit/server_rate_limiter_test.cpp
@@ -188,6 +188,21 @@
                     const int sent = sent_at(now_ + seconds(3));
                     CPPUNIT_ASSERT(sent >= 1 && sent <= 3);
                 });
+        section("the owner of a cold stage server is its sender",
+                [&]
+                {
+                    server_rate_limiter owner("g");
+                    owner.set_cold_rates({{"engine", 20}});
+                    std::vector<limit_process> alive{{"g"}};
+                    for (int i = 0; i < 30; ++i)
+                    {
+                        alive.push_back({absl::StrCat("other-", i)});
+                    }
+                    owner.update(alive, now_);
+                    const auto share = owner.share_of(
+                        server, sender_role::owner, now_ + seconds(3));
+                    CPPUNIT_ASSERT(share.per_second > 10);
+                });
         section("a cold server of a service without a rate has no limit",
                 [&]
                 {
