Tell large zones nothing of single prompts

Cause: each long prompt was told to one process in each zone of other regions, also where that one passes nothing on, as its zone has more than 25 processes.

Change: such zones are left out.

Result: the new section fails on the earlier code (two relays); unit 126 of 126.

--- a/src/process/peer_directory.cpp
+++ b/src/process/peer_directory.cpp
@@ -218,29 +218,35 @@
 {
     struct relay final
     {
-        const peer* process;
-        std::uint64_t rank;
+        const peer* process = nullptr;
+        std::uint64_t rank = 0;
+        std::size_t zone_size = 0;
     };
     absl::flat_hash_map<std::string_view, relay> relays;
     for (const auto& [name, entry] : peers_)
     {
-        if (place_.to(entry.info.zone) != distance::other_region ||
-            entry.suspected || entry.info.stopping)
+        if (place_.to(entry.info.zone) != distance::other_region)
         {
             continue;
         }
+        relay& chosen = relays[entry.info.zone];
+        ++chosen.zone_size;
         const auto rank = stable_hash(name, key);
-        const auto [found, added] =
-            relays.try_emplace(entry.info.zone, relay{&entry.info, rank});
-        if (!added && rank > found->second.rank)
+        if (!entry.suspected && !entry.info.stopping &&
+            (chosen.process == nullptr || rank > chosen.rank))
         {
-            found->second = {&entry.info, rank};
+            chosen.process = &entry.info;
+            chosen.rank = rank;
         }
     }
     std::vector<socket_address> result;
     for (const auto& [zone, relay] : relays)
     {
-        result.push_back(relay.process->address);
+        // The relay tells the others of its zone.
+        if (relay.process != nullptr && relay.zone_size <= max_nearby_peers + 1)
+        {
+            result.push_back(relay.process->address);
+        }
     }
     return result;
 }
--- a/src/process/peer_directory.hpp
+++ b/src/process/peer_directory.hpp
@@ -90,7 +90,8 @@
     std::vector<socket_address> nearby_addresses(bool zone_only) const;
 
     /// Returns the address of one peer in each zone of other regions, chosen by
-    /// rendezvous hashing of the key.
+    /// rendezvous hashing of the key. Zones with too many processes to be told
+    /// of single requests are left out.
     std::vector<socket_address> relay_addresses(std::uint64_t key) const;
 
     /// Returns whether a peer with this address is in the own region.
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(retries_stay_under_the_common_limit);
     CPPUNIT_TEST(each_server_has_one_owner);
     CPPUNIT_TEST(unresponsive_processes_expire);
+    CPPUNIT_TEST(large_zones_are_not_told_of_single_requests);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -190,6 +191,41 @@
                 });
     }
 
+    void large_zones_are_not_told_of_single_requests()
+    {
+        peer_directory_settings settings;
+        settings.self = process("g1", "a");
+        settings.region_zones = {"a"};
+        peer_directory view(settings);
+        const auto add = [&](const std::string& zone, int count)
+        {
+            for (int i = 0; i < count; ++i)
+            {
+                view.record_heartbeat(process(zone + std::to_string(i), zone),
+                                      now_);
+            }
+        };
+        add("a", 10);
+        add("b", 20);
+        section("one process of each zone elsewhere tells the others",
+                [&]
+                {
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(10),
+                                         view.nearby_addresses(false).size());
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                                         view.relay_addresses(7).size());
+                });
+        section("unless they are too many",
+                [&]
+                {
+                    add("c", 50);
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                                         view.relay_addresses(7).size());
+                    add("a", 50);
+                    CPPUNIT_ASSERT(view.nearby_addresses(false).empty());
+                });
+    }
+
     void unresponsive_processes_expire()
     {
         peer_directory_settings settings;
