Report no stage server that only shares a backlog

Cause: the owner of a group makes an entry for each of its servers at the first task, and reported all of them in its heartbeats.

Change: a server is reported once it had items.

The new test failed before (2 reports); stage_caller_test 6 of 6.

--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -68,6 +68,7 @@
     {
         join_group(*entry);
     }
+    entry->used = true;
     entry->queue.add(task);
     update_router(*entry, server);
     schedule_processing(*entry);
@@ -85,6 +86,7 @@
     {
         return; // the results were lost with their server
     }
+    entry->used = true;
     for (const auto& handle : handles)
     {
         entry->results_to_free.push_back(handle);
@@ -102,7 +104,7 @@
     std::vector<named_load_report> result;
     for (auto& [id, entry] : entries_)
     {
-        if (entry->server)
+        if (entry->server && entry->used)
         {
             result.push_back({entry->server, load_report_of(*entry)});
         }
@@ -307,6 +309,7 @@
     if (call.permit)
     {
         call.items = entry.queue.begin_call(now);
+        entry.used = entry.used || !call.items.empty();
     }
     else if (const auto wait = state_.limits().time_until_permit(
                  *entry.server, role_for(*entry.server), now);
--- a/src/connection/stage_caller.hpp
+++ b/src/connection/stage_caller.hpp
@@ -60,7 +60,8 @@
     void enqueue_release(const std::string& server,
                          const std::vector<std::string>& handles);
 
-    /// Returns the load reports of all servers that this process calls.
+    /// Returns the load reports of all servers that this process calls, without
+    /// those of a group that had no items yet.
     std::vector<named_load_report> load_reports();
 
     /// Returns whether items are queued or a call is running.
@@ -86,6 +87,7 @@
         std::uint64_t started_ms; ///< start of the server that holds results
         stage_queue queue;
         std::vector<std::string> results_to_free;
+        bool used = false; ///< had items, or took some of its group
         bool processing_scheduled = false;
         bool release_scheduled = false;
         bool memory_query_pending = false;
--- a/tests/platform/stage_caller_test.cpp
+++ b/tests/platform/stage_caller_test.cpp
@@ -18,15 +18,17 @@
 namespace
 {
 
-/// Stage caller with one stage server, driven handler by handler.
+/// Stage caller with one stage server, or with two that share their waiting
+/// items, driven handler by handler.
 class caller_of_one_server final
 {
 public:
-    explicit caller_of_one_server(const socket_address& address)
+    explicit caller_of_one_server(const socket_address& address,
+                                  bool shares_backlog = false)
         : connections_(
               io_, [](const backend_server&) { return 4; }, metrics_),
           calls_(io_, protocol_, connections_, nullptr, memory_),
-          state_(gateway_settings()),
+          state_(settings(shares_backlog)),
           router_({"gateway-1", "zone-a", {"zone-a"}}),
           caller_(
               io_, protocol_, state_, router_, calls_, metrics_,
@@ -50,6 +52,11 @@
         server.zone = "zone-a";
         server.address = address;
         state_.directory().put(server);
+        if (shares_backlog)
+        {
+            server.id = "encode-2";
+            state_.directory().put(server);
+        }
     }
 
     ~caller_of_one_server() { io_.destroy_pending_handlers(); }
@@ -111,8 +118,16 @@
     }
 
     bool busy() const { return caller_.busy(); }
+    std::size_t reports() { return caller_.load_reports().size(); }
 
 private:
+    static gateway_settings settings(bool shares_backlog)
+    {
+        gateway_settings result;
+        result.shares_stage_backlogs = shares_backlog;
+        return result;
+    }
+
     abortable_io_context io_;
     metrics_registry metrics_;
     platform::platform_protocol protocol_;
@@ -150,9 +165,19 @@
     CPPUNIT_TEST(a_late_copy_of_an_answer_is_no_result);
     CPPUNIT_TEST(a_late_copy_without_results_shifts_no_later_answer);
     CPPUNIT_TEST(results_are_released_after_a_silence);
+    CPPUNIT_TEST(servers_that_only_share_items_are_not_reported);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// Reports of idle servers would grow with the fleet.
+    void servers_that_only_share_items_are_not_reported()
+    {
+        caller_of_one_server caller({"127.0.0.1", 1}, true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), caller.reports());
+        caller.enqueue_item(std::make_shared<item_client>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), caller.reports());
+    }
+
     void a_held_server_is_reported_as_ejected()
     {
         const auto client = std::make_shared<item_client>();
