Read what has arrived of a message in one pass of the event loop

Cause: message_reader read a body in pieces of 512 bytes, each of which waits for the next pass of the event loop. Once a pass takes longer than 14 ms, the answer can't be read within the second that it is given, however early it came; it is given up and asked for again.

Change: a read that fills its buffer is followed by one of all that has arrived, 64 KB at most. Memory is still taken for received bytes only and is charged; a larger buffer is freed at the end of its message.

--- a/src/connection/message_reader.cpp
+++ b/src/connection/message_reader.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
+
 namespace mangolink
 {
 namespace
@@ -13,6 +15,10 @@
 
 constexpr std::size_t max_read_bytes = 64 * 1024;
 
+/// Larger buffers are freed at the end of a message, as the connection may be
+/// idle for long.
+constexpr std::size_t max_idle_buffer_bytes = 4 * 1024;
+
 /// Received bytes that are not parsed yet are limited to a head and this much,
 /// so that endless chunk extensions and trailers reach the limit.
 constexpr std::size_t unparsed_bytes = 64 * 1024;
@@ -141,6 +147,24 @@
                           moved_bytes_ + unread_bytes_);
 }
 
+template <bool is_request>
+std::size_t message_reader<is_request>::next_read_size() const
+{
+    const std::size_t size = boost::beast::read_size(buffer_, max_read_bytes);
+    if (!more_may_wait_)
+    {
+        return size;
+    }
+    // Each read takes a pass of the event loop, which is long in a busy
+    // process.
+    error_code error;
+    const std::size_t arrived = socket_.available(error);
+    return std::clamp(arrived, size,
+                      std::max(size, std::min(max_read_bytes,
+                                              buffer_.max_size() -
+                                                  buffer_.size())));
+}
+
 template <bool is_request>
 typename message_reader<is_request>::message
 message_reader<is_request>::release()
@@ -161,6 +185,11 @@
         if (parse)
         {
             buffer_.consume(parser_->put(buffer_.data(), error));
+            if (parser_->is_done() &&
+                buffer_.capacity() > max_idle_buffer_bytes)
+            {
+                buffer_.shrink_to_fit();
+            }
             if (!charge())
             {
                 co_return asio::error::no_memory;
@@ -170,15 +199,16 @@
                 co_return error;
             }
         }
-        const std::size_t size =
-            boost::beast::read_size(buffer_, max_read_bytes);
+        const std::size_t size = next_read_size();
         if (size == 0)
         {
             co_return http::error::buffer_overflow;
         }
         error = {};
-        buffer_.commit(co_await socket_.async_read_some(buffer_.prepare(size),
-                                                        redirect_to(error)));
+        const std::size_t received = co_await socket_.async_read_some(
+            buffer_.prepare(size), redirect_to(error));
+        buffer_.commit(received);
+        more_may_wait_ = received == size;
         if (error == asio::error::eof && parser_->got_some())
         {
             error = {};
--- a/src/connection/message_reader.hpp
+++ b/src/connection/message_reader.hpp
@@ -93,6 +93,7 @@
     bool is_interim() const;
     asio::awaitable<error_code> parse_some();
     bool charge();
+    std::size_t next_read_size() const;
 
     tcp::socket& socket_;
     boost::beast::flat_buffer& buffer_;
@@ -101,6 +102,7 @@
     std::size_t moved_bytes_ = 0;  ///< held by the target of move_body_to()
     std::size_t unread_bytes_ = 0; ///< may be in the socket
     bool has_no_body_ = false;
+    bool more_may_wait_ = false; ///< the last read filled its buffer
     /// Replaced after an interim response; never empty.
     std::optional<http::parser<is_request, received_body>> parser_;
 };
