--- a/src/connection/async_http_client.cpp
+++ b/src/connection/async_http_client.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+
 namespace mangolink
 {
 namespace
@@ -25,8 +27,15 @@
 
 std::string async_http_client::result::reason() const
 {
-    return error ? error.message()
-                 : "status " + std::to_string(answer.result_int());
+    if (error != asio::error::timed_out || limit == milliseconds(0))
+    {
+        return error ? error.message()
+                     : "status " + std::to_string(answer.result_int());
+    }
+    const auto limit_text = std::to_string(limit.count()) + " ms";
+    return connected ? "timed out after " + limit_text + " with " +
+                           std::to_string(received_bytes) + " bytes received"
+                     : "timed out after " + limit_text + " while connecting";
 }
 
 async_http_client::async_http_client(asio::io_context& context,
@@ -44,12 +53,15 @@
     result outcome;
     if (!connection_ || !connection_->clean())
     {
-        outcome.error = co_await connect(limit);
+        const milliseconds bounded = std::min(limit, connect_limit);
+        outcome.error = co_await connect(bounded);
         if (outcome.error)
         {
+            outcome.limit = bounded;
             co_return outcome;
         }
     }
+    outcome.connected = true;
     const auto connection = connection_;
     http::request<http::empty_body> request(http::verb::get, target, 11);
     request.set(http::field::host, address_.text());
@@ -74,6 +86,8 @@
         outcome.error = memory.reclaimed() ? asio::error::no_memory
                         : timed_out        ? asio::error::timed_out
                                            : outcome.error;
+        outcome.limit = timed_out ? limit : milliseconds(0);
+        outcome.received_bytes = reader.body().size();
         connection_.reset();
         co_return outcome;
     }
@@ -88,8 +102,7 @@
 asio::awaitable<error_code> async_http_client::connect(milliseconds limit)
 {
     auto fresh = std::make_shared<backend_connection>(context_);
-    const milliseconds bounded = std::min(limit, connect_limit);
-    const error_code error = co_await fresh->connect(address_, bounded);
+    const error_code error = co_await fresh->connect(address_, limit);
     connection_ = error ? nullptr : std::move(fresh);
     co_return error;
 }
--- a/src/connection/async_http_client.hpp
+++ b/src/connection/async_http_client.hpp
@@ -23,13 +23,17 @@
     {
         error_code error;
         text_response answer;
+        bool connected = false;
+        milliseconds limit{0};          ///< of the step that timed out
+        std::size_t received_bytes = 0; ///< of the body, if the call failed
 
         bool ok() const
         {
             return !error && answer.result() == http::status::ok;
         }
 
-        /// Returns why the call failed: the error or the status.
+        /// Returns why the call failed: the error or the status. A time-out
+        /// tells how far the call had come.
         std::string reason() const;
     };
 
