Let the time limits of calls to the store follow their latency

Callers saw (CONFIG): a gateway handled requests by a version that was no longer the newest, later than allowed after the newer one was confirmed, and refused all that carry a key.

Cause: the limits of connecting to the store (400 ms) and of its answers (1 s, 0.7 s beyond a watch) were fixed. On a link with a queue a round trip takes longer, each attempt ends at its limit, and repeating it can't help: the gateway knows no change until the congestion ends, though the store answers at once and the callers' streams go on.

Change: a limit doubles after a time-out, up to fourfold, then begins anew, so that the end of an outage is noticed about as soon; it stays above the latency that was measured last. Connecting and answering apart, as a slow store has quick connects.

--- a/src/connection/async_http_client.cpp
+++ b/src/connection/async_http_client.cpp
@@ -18,11 +18,16 @@
 /// the response of a watch may contain several.
 constexpr message_limits response_limits{16 * 1024, 16ULL * 1024 * 1024};
 
-/// Connecting takes one round trip. The short timeout lets callers retry an
-/// unreachable server often, so that the end of a network partition is noticed
-/// soon.
+/// Usual limit; connecting takes one round trip. A short one lets callers retry
+/// an unreachable server often, so that the end of a network partition is
+/// noticed soon.
 constexpr milliseconds connect_limit{400};
 
+milliseconds elapsed_since(boot_clock::time_point begin)
+{
+    return std::chrono::duration_cast<milliseconds>(boot_clock::now() - begin);
+}
+
 } // namespace
 
 std::string async_http_client::result::reason() const
@@ -48,20 +53,23 @@
 async_http_client::~async_http_client() = default;
 
 asio::awaitable<async_http_client::result>
-async_http_client::call(std::string target, milliseconds limit)
+async_http_client::call(std::string target, milliseconds server_wait,
+                        milliseconds latency_limit)
 {
     result outcome;
     if (!connection_ || !connection_->clean())
     {
-        const milliseconds bounded = std::min(limit, connect_limit);
-        outcome.error = co_await connect(bounded);
+        const milliseconds usual = std::min(latency_limit, connect_limit);
+        outcome.limit = connect_timeout_.limit(usual);
+        outcome.error = co_await connect(usual);
         if (outcome.error)
         {
-            outcome.limit = bounded;
             co_return outcome;
         }
     }
     outcome.connected = true;
+    outcome.limit = server_wait + response_timeout_.limit(latency_limit);
+    const auto sent_at = boot_clock::now();
     const auto connection = connection_;
     http::request<http::empty_body> request(http::verb::get, target, 11);
     request.set(http::field::host, address_.text());
@@ -71,7 +79,7 @@
                            response_limits, memory);
     bool timed_out = false;
     {
-        const scoped_timeout timeout(context_, limit,
+        const scoped_timeout timeout(context_, outcome.limit,
                                      [connection] { connection->close(); });
         co_await http::async_write(connection->socket(), request,
                                    redirect_to(outcome.error));
@@ -86,11 +94,20 @@
         outcome.error = memory.reclaimed() ? asio::error::no_memory
                         : timed_out        ? asio::error::timed_out
                                            : outcome.error;
-        outcome.limit = timed_out ? limit : milliseconds(0);
+        outcome.limit = timed_out ? outcome.limit : milliseconds(0);
         outcome.received_bytes = reader.body().size();
+        if (timed_out)
+        {
+            response_timeout_.record_timeout();
+        }
         connection_.reset();
         co_return outcome;
     }
+    const auto took = elapsed_since(sent_at);
+    if (took >= server_wait) // otherwise an event ended the wait
+    {
+        response_timeout_.record_success(latency_limit, took - server_wait);
+    }
     if (!reader.keep_alive())
     {
         connection_.reset();
@@ -99,10 +116,20 @@
     co_return outcome;
 }
 
-asio::awaitable<error_code> async_http_client::connect(milliseconds limit)
+asio::awaitable<error_code> async_http_client::connect(milliseconds usual_limit)
 {
     auto fresh = std::make_shared<backend_connection>(context_);
-    const error_code error = co_await fresh->connect(address_, limit);
+    const auto begin = boot_clock::now();
+    const error_code error =
+        co_await fresh->connect(address_, connect_timeout_.limit(usual_limit));
+    if (!error)
+    {
+        connect_timeout_.record_success(usual_limit, elapsed_since(begin));
+    }
+    else if (error == asio::error::timed_out)
+    {
+        connect_timeout_.record_timeout();
+    }
     connection_ = error ? nullptr : std::move(fresh);
     co_return error;
 }
--- a/src/connection/async_http_client.hpp
+++ b/src/connection/async_http_client.hpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 #include "base/socket_address.hpp"
 #include "connection/asio_types.hpp"
+#include "process/adaptive_timeout.hpp"
 
 #include <memory>
 #include <string>
@@ -14,7 +15,8 @@
 class memory_budget;
 
 /// Asynchronous HTTP client of one server. Makes sequential calls on a
-/// persistent connection, each with a timeout. Used by one thread.
+/// persistent connection, each with a timeout that adapts to the latency of the
+/// answers. Used by one thread.
 class async_http_client final
 {
 public:
@@ -42,16 +44,20 @@
                       memory_budget& memory);
     ~async_http_client();
 
-    /// Sends a GET request for a target. `limit` applies separately to
-    /// connecting and to receiving the complete response.
-    asio::awaitable<result> call(std::string target, milliseconds limit);
+    /// Sends a GET request for a target. `latency_limit` applies to receiving
+    /// the complete response after the time that the server may wait before it
+    /// answers, and to connecting. It grows after timeouts.
+    asio::awaitable<result> call(std::string target, milliseconds server_wait,
+                                 milliseconds latency_limit);
 
 private:
-    asio::awaitable<error_code> connect(milliseconds limit);
+    asio::awaitable<error_code> connect(milliseconds usual_limit);
 
     asio::io_context& context_;
     socket_address address_;
     memory_budget& memory_;
+    adaptive_timeout connect_timeout_;
+    adaptive_timeout response_timeout_;
     std::shared_ptr<backend_connection> connection_;
 };
 
--- a/tests/platform/updates_test.cpp
+++ b/tests/platform/updates_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(a_reader_without_the_store_is_not_followed);
     CPPUNIT_TEST(a_missing_configuration_is_watched_by_one_process);
     CPPUNIT_TEST(nobody_refuses_between_two_confirmations);
+    CPPUNIT_TEST(a_congested_link_to_the_store_delays_no_change_for_long);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -221,7 +222,34 @@
         }
     }
 
+    void a_congested_link_to_the_store_delays_no_change_for_long()
+    {
+        test_cluster cluster;
+        prepare(cluster);
+        auto& gateway = cluster.start_gateway();
+        for (const auto latency : {milliseconds(300), milliseconds(1200)})
+        {
+            cluster.store().set_latency(latency);
+            std::this_thread::sleep_for(latency * 2);
+            const std::string name = std::to_string(latency.count());
+            section(name + " ms until an answer arrives",
+                    [&]
+                    {
+                        const std::string path = "/" + name + "/";
+                        cluster.add_route(path, "idempotent", "desk");
+                        cluster.publish();
+                        CPPUNIT_ASSERT(bench::wait_until(
+                            [&]
+                            { return send_request(gateway, path, "r") == 200; },
+                            configuration_limit));
+                    });
+        }
+    }
+
 private:
+    /// Time in which a change is in force everywhere.
+    static constexpr milliseconds configuration_limit{4000};
+
     static void prepare(test_cluster& cluster)
     {
         cluster.add_backend("desk", "desk-1");
--- a/tests/standins/store_standin.hpp
+++ b/tests/standins/store_standin.hpp
@@ -58,6 +58,9 @@
 
     void set_mode(store_mode mode);
 
+    /// Delays all answers, like a congested link.
+    void set_latency(milliseconds latency) { latency_ms_ = latency.count(); }
+
     /// Leaves every nth call unanswered; 0 answers all.
     void drop_answer_every(unsigned calls) { drop_answer_every_ = calls; }
 
@@ -96,6 +99,7 @@
 
     void restore(
         const std::vector<std::pair<std::string, std::string>>& written_again);
+    standin_server::reply delayed(standin_server::reply reply) const;
     void handle(const text_request& request, standin_server::reply reply);
     void write(const std::string& key, const std::string& value);
     scripted_answer answer(unsigned status, const std::string& body) const;
@@ -119,6 +123,7 @@
     std::vector<pending_watch> watches_;
     store_mode mode_ = store_mode::serving;
     std::atomic<unsigned> drop_answer_every_{0};
+    std::atomic<std::int64_t> latency_ms_{0};
     std::atomic<std::uint64_t> calls_{0};
     standin_server server_; ///< last, as its thread uses the other members
 };
