Complete no answer whose connection was reset during the upload

Callers saw (MIXED): an engine answers a long upload at once with a 200 that has no length, sends part of the body and resets the connection while the upload is still being written. The part was delivered as the whole answer.

Cause: the system reports a reset once. The pending write got it; the read after it saw an orderly end, which completes an answer without a length.

Change: such an answer fails if the write of its request has failed.

--- a/src/connection/backend_exchange.cpp
+++ b/src/connection/backend_exchange.cpp
@@ -67,6 +67,13 @@
     {
         error_ = co_await reader_->read_some();
     }
+    if (!error_ && write_error_ && reader_->complete() &&
+        ends_with_connection())
+    {
+        // A reset is reported once: to the write. To the read it looks like the
+        // end of the answer.
+        error_ = write_error_;
+    }
     reader_->move_body_to(body);
     if (error_)
     {
@@ -175,6 +182,7 @@
         [self = shared_from_this()](const error_code& error, std::size_t bytes)
         {
             self->written_ = !error;
+            self->write_error_ = error;
             std::string().swap(self->request_.body());
             if (error && bytes == 0)
             {
--- a/src/connection/backend_exchange.hpp
+++ b/src/connection/backend_exchange.hpp
@@ -122,6 +122,7 @@
     std::unique_ptr<response_reader> reader_;
     answer_metadata metadata_;
     error_code error_;
+    error_code write_error_;
     bool sent_ = false;
     bool written_ = false;
     bool failed_ = false;
