Accept no answer with a status below 100

Cause: the parser takes any three digits for a status, and nothing looked at the value.

Change: message_reader fails such an answer, as it fails other bytes that are none. It reads the answers of all servers, of peers and of the store.

Result: early_answer_test::an_answer_with_status_zero_is_not_forwarded fails before (status 0 instead of 502) and passes now.

--- a/src/connection/message_reader.cpp
+++ b/src/connection/message_reader.cpp
@@ -23,6 +23,9 @@
 /// so that endless chunk extensions and trailers reach the limit.
 constexpr std::size_t unparsed_bytes = 64 * 1024;
 
+/// The parser accepts any three digits.
+constexpr unsigned min_status = 100;
+
 /// A server that sends more has no response to announce.
 constexpr int max_interim_responses = 8;
 
@@ -70,6 +73,19 @@
     }
 }
 
+template <bool is_request>
+bool message_reader<is_request>::has_valid_status() const
+{
+    if constexpr (is_request)
+    {
+        return true;
+    }
+    else
+    {
+        return head().result_int() >= min_status;
+    }
+}
+
 template <bool is_request>
 asio::awaitable<error_code> message_reader<is_request>::read_head()
 {
@@ -81,6 +97,10 @@
         {
             error = co_await parse_some();
         }
+        if (!error && !has_valid_status())
+        {
+            error = http::error::bad_status;
+        }
         if (error || !is_interim())
         {
             co_return error;
--- a/src/connection/message_reader.hpp
+++ b/src/connection/message_reader.hpp
@@ -91,6 +91,7 @@
 private:
     void start_parser();
     bool is_interim() const;
+    bool has_valid_status() const;
     asio::awaitable<error_code> parse_some();
     bool charge();
     std::size_t next_read_size() const;
--- a/tests/platform/early_answer_test.cpp
+++ b/tests/platform/early_answer_test.cpp
@@ -10,12 +10,14 @@
 namespace mangolink::test
 {
 
-/// Answers that come while the request is still being written.
+/// Answers that come while the request is still being written, or that have no
+/// valid status.
 class early_answer_test final : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(early_answer_test);
     CPPUNIT_TEST(a_reset_during_the_upload_completes_no_answer);
     CPPUNIT_TEST(an_early_answer_that_ends_with_its_connection_is_whole);
+    CPPUNIT_TEST(an_answer_with_status_zero_is_not_forwarded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -32,6 +34,28 @@
         CPPUNIT_ASSERT_EQUAL(std::string(body_part), answer->body());
     }
 
+    void an_answer_with_status_zero_is_not_forwarded()
+    {
+        test_cluster cluster;
+        standin_server desk(
+            [](const text_request& request, const standin_server::reply& reply)
+            {
+                scripted_answer script;
+                script.parts.push_back(
+                    {"HTTP/1.1 000 None\r\n" +
+                         head_fields(std::string(request["X-Attempt-Id"])) +
+                         "Content-Length: 4\r\n\r\ndone",
+                     {}});
+                reply(std::move(script));
+            });
+        auto& gateway = start(cluster, desk.address().text());
+        test_caller caller(gateway.callers());
+        const auto answer =
+            caller.send_request(test_cluster::request("/orders/x", "r"));
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(502U, answer->result_int());
+    }
+
 private:
     static constexpr const char* body_part = "part of the body";
 
