Name the room that a read of a message may fill

Cause: the size of the next read was one nested expression.

Change: the upper bound has a name; the value is the same.

Result: busy_process, early_answer, declared_length, memory_bound, interim_response and cut_answer tests pass.

--- a/src/connection/message_reader.cpp
+++ b/src/connection/message_reader.cpp
@@ -179,10 +179,9 @@
     // process.
     error_code error;
     const std::size_t arrived = socket_.available(error);
-    return std::clamp(
-        arrived, size,
-        std::max(size, std::min(max_read_bytes,
-                                buffer_.max_size() - buffer_.size())));
+    const std::size_t room =
+        std::min(max_read_bytes, buffer_.max_size() - buffer_.size());
+    return std::clamp(arrived, size, std::max(size, room));
 }
 
 template <bool is_request>
