--- a/review/standins-2/model_cases.cpp
+++ b/review/standins-2/model_cases.cpp
@@ -17,6 +17,9 @@
 using nlohmann::json;
 
 constexpr milliseconds start_limit{10'000};
+
+/// Pieces of a request of staged_request().
+constexpr std::size_t pieces = 4;
 constexpr const char* model_headers =
     "X-Model: m\r\nX-Token-Counts: 1460,80\r\n"
     "X-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n";
@@ -200,7 +203,6 @@
 
 verdict torn_first_event(const setting& given)
 {
-    constexpr std::size_t pieces = 4;
     store platform(given.log);
     stage_server first(given.log, "s-1", "encode", milliseconds(150));
     constexpr milliseconds second_call{300};
