--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Plays the case that claim.txt describes. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-exec review/standins-2/play smuggled_request review/7
+exec review/standins-2/play crash_after_first_event review/7
--- a/review/standins-2/cases.hpp
+++ b/review/standins-2/cases.hpp
@@ -39,6 +39,10 @@
 /// a call of the second stage.
 nlohmann::json model_configuration(unsigned version, milliseconds second_call);
 
+/// Returns a configuration with one route of streams, to the service "model",
+/// that are sent once at most, and one tenant.
+nlohmann::json query_configuration(unsigned version);
+
 /// Returns the head of a request up to its framing, which the caller adds.
 std::string request_head(const std::string& path, const std::string& id,
                          const std::string& key = tenant_key);
@@ -53,5 +57,7 @@
 verdict torn_first_event(const setting& given);
 verdict reused_handle(const setting& given);
 verdict fractional_bound(const setting& given);
+verdict crash_after_first_event(const setting& given);
+verdict first_part_refused(const setting& given);
 
 } // namespace review
--- a/review/standins-2/common.cpp
+++ b/review/standins-2/common.cpp
@@ -80,6 +80,21 @@
                      stage_service("retrieve", second_call)}));
 }
 
+json query_configuration(unsigned version)
+{
+    const json route{{"name", "r-query"},       {"hostname", "pule25.example"},
+                     {"prefix", "/query/"},     {"routeType", "streaming"},
+                     {"streamResume", false},   {"sessionAffinity", true},
+                     {"targetGapMs", 400},      {"timeoutMs", 5000},
+                     {"targetLatencyMs", 2200}, {"priority", 1},
+                     {"service", "model"},      {"maxAttempts", 1},
+                     {"anonymous", false}};
+    const json model{{"name", "model"},       {"healthPath", "/healthz"},
+                     {"maxConnections", 610}, {"protocol", "h1"},
+                     {"tls", false},          {"engine", {{"slots", 128}}}};
+    return configuration(version, json::array({route}), json::array({model}));
+}
+
 std::string request_head(const std::string& path, const std::string& id,
                          const std::string& key)
 {
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -15,7 +15,9 @@
         {"last_tenant_removed", &last_tenant_removed},
         {"torn_first_event", &torn_first_event},
         {"reused_handle", &reused_handle},
-        {"fractional_bound", &fractional_bound}};
+        {"fractional_bound", &fractional_bound},
+        {"crash_after_first_event", &crash_after_first_event},
+        {"first_part_refused", &first_part_refused}};
     const auto found = argc == 5 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end())
     {
--- a/review/standins-2/stand_ins.cpp
+++ b/review/standins-2/stand_ins.cpp
@@ -29,11 +29,11 @@
 
 const clock::time_point program_start = clock::now();
 
-sockaddr_in loopback(std::uint16_t port)
+sockaddr_in loopback(std::uint16_t port, const std::string& ip = "127.0.0.1")
 {
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
     address.sin_port = htons(port);
     return address;
 }
@@ -80,9 +80,9 @@
     return ports;
 }
 
-std::string local(std::uint16_t port)
+std::string local(std::uint16_t port, const std::string& ip = "127.0.0.1")
 {
-    return "127.0.0.1:" + std::to_string(port);
+    return ip + ":" + std::to_string(port);
 }
 
 std::string lower(std::string text)
@@ -213,10 +213,11 @@
     close();
 }
 
-std::unique_ptr<connection> connection::open(std::uint16_t port)
+std::unique_ptr<connection> connection::open(std::uint16_t port,
+                                             const std::string& ip)
 {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in address = loopback(port);
+    const sockaddr_in address = loopback(port, ip);
     if (::connect(descriptor, reinterpret_cast<const sockaddr*>(&address),
                   sizeof(address)) != 0)
     {
@@ -419,8 +420,9 @@
     connection peer(descriptor);
     {
         const std::lock_guard lock(mutex_);
-        if (ending_)
+        if (ending_ || down_)
         {
+            peer.reset();
             return;
         }
         open_.insert(&peer);
@@ -430,6 +432,19 @@
     open_.erase(&peer);
 }
 
+void listener::set_down(bool down)
+{
+    const std::lock_guard lock(mutex_);
+    down_ = down;
+    for (auto* each : open_)
+    {
+        if (down)
+        {
+            each->interrupt();
+        }
+    }
+}
+
 std::string listener::address() const
 {
     return local(port_);
@@ -574,29 +589,29 @@
 
 gateway::gateway(const deployment& values, const std::string& folder,
                  record& log)
-    : log_(log)
+    : log_(log), name_(values.name), ip_(values.ip),
+      ports_(values.ports.empty() ? free_ports(4) : values.ports),
+      settings_path_(folder + "/" + name_ + ".toml"),
+      output_path_(folder + "/" + name_ + ".log")
 {
-    const auto ports = free_ports(4);
-    callers_ = ports[0];
-    readiness_ = ports[1];
     std::ifstream file("platform/gateway.toml.in");
     std::stringstream content;
     content << file.rdbuf();
     std::string settings = content.str();
     const std::vector<std::pair<std::string, std::string>> fields{
         {"{{#seedNodes}}\"{{.}}\"{{,}}{{/seedNodes}}",
-         "\"" + local(ports[3]) + "\""},
+         "\"" + local(ports_[3], values.seed_ip) + "\""},
         {"{{#zones}}\"{{@}}={{.}}\"{{,}}{{/zones}}", "\"north-a=north\""},
-        {"{{ip}}:{{internalPortRange.0}}", local(ports[2])},
-        {"{{ip}}:{{internalPortRange.1}}", local(ports[3])},
-        {"{{nodeName}}", "edge-north-a-1"},
+        {"{{ip}}:{{internalPortRange.0}}", local(ports_[2], ip_)},
+        {"{{ip}}:{{internalPortRange.1}}", local(ports_[3], ip_)},
+        {"{{nodeName}}", name_},
         {"{{zone}}", "north-a"},
         {"{{region}}", "north"},
         {"{{limits.maxFds}}", "4200"},
         {"{{limits.memoryMb}}", "260"},
         {"{{limits.cpuQuota}}", "0.19"},
-        {"{{listen.frontend}}", local(callers_)},
-        {"{{listen.readiness}}", local(readiness_)},
+        {"{{listen.frontend}}", local(ports_[0], ip_)},
+        {"{{listen.readiness}}", local(ports_[1], ip_)},
         {"{{bounds.graceS}}", values.grace_s},
         {"{{platform.address}}", values.store},
         {"{{bounds.revokeMs}}", "5000"},
@@ -607,21 +622,27 @@
     {
         replace_all(settings, from, to);
     }
-    const std::string path = folder + "/boot.toml";
-    const std::string output = folder + "/gateway.log";
-    std::ofstream(path) << settings;
+    std::ofstream(settings_path_) << settings;
+    start();
+}
+
+void gateway::start()
+{
+    constexpr int mode = 0600;
     process_ = ::fork();
     if (process_ == 0)
     {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-        const int log_file = ::creat(output.c_str(), 0600);
+        const int log_file =
+            ::open(output_path_.c_str(), O_WRONLY | O_CREAT | O_APPEND, mode);
         ::dup2(log_file, STDOUT_FILENO);
         ::dup2(log_file, STDERR_FILENO);
         ::execl("target/mangolink-gateway", "target/mangolink-gateway",
-                "--settings", path.c_str(), nullptr);
+                "--settings", settings_path_.c_str(), nullptr);
         ::_exit(127);
     }
-    log_.add("gateway started, process " + std::to_string(process_));
+    log_.add("gateway " + name_ + " started, process " +
+             std::to_string(process_));
 }
 
 gateway::~gateway()
@@ -638,14 +659,14 @@
     const auto deadline = now_ms() + limit.count();
     while (now_ms() < deadline)
     {
-        const auto probe = connection::open(readiness_);
+        const auto probe = connection::open(ports_[1], ip_);
         if (probe &&
             probe->send("GET /v1/readyz HTTP/1.1\r\nHost: node\r\n\r\n"))
         {
             const auto answer = probe->read(milliseconds(1000));
             if (answer && answer->status() == 200)
             {
-                log_.add("gateway says that it is ready");
+                log_.add("gateway " + name_ + " says that it is ready");
                 return true;
             }
         }
@@ -655,12 +676,22 @@
     return false;
 }
 
+bool gateway::wait_until_ended(milliseconds limit)
+{
+    const auto deadline = now_ms() + limit.count();
+    while (!ended() && now_ms() < deadline)
+    {
+        pause(milliseconds(20));
+    }
+    return process_ < 0;
+}
+
 bool gateway::ended()
 {
     int status = 0;
     if (process_ > 0 && ::waitpid(process_, &status, WNOHANG) == process_)
     {
-        log_.add("gateway ended by itself, exit code " +
+        log_.add("gateway " + name_ + " ended, exit code " +
                  std::to_string(WIFEXITED(status) ? WEXITSTATUS(status) : -1));
         process_ = -1;
     }
--- a/review/standins-2/stand_ins.hpp
+++ b/review/standins-2/stand_ins.hpp
@@ -72,7 +72,8 @@
     connection& operator=(const connection&) = delete;
 
     /// Connects to a port on loopback; null on failure.
-    static std::unique_ptr<connection> open(std::uint16_t port);
+    static std::unique_ptr<connection>
+    open(std::uint16_t port, const std::string& ip = "127.0.0.1");
 
     bool send(std::string_view bytes);
 
@@ -113,6 +114,10 @@
     std::uint16_t port() const { return port_; }
     std::string address() const;
 
+    /// While it is down, connections end as soon as they are accepted; those
+    /// that are open end at once.
+    void set_down(bool down);
+
 private:
     void accept_all();
     void serve(int descriptor);
@@ -122,6 +127,7 @@
     std::uint16_t port_;
     std::mutex mutex_;
     bool ending_ = false;
+    bool down_ = false;
     std::set<connection*> open_;
     std::vector<std::thread> threads_;
 };
@@ -167,6 +173,9 @@
     const std::string& id() const { return id_; }
     std::string address() const { return listener_.address(); }
 
+    /// Ends all connections and serves none until it is up again.
+    void set_down(bool down) { listener_.set_down(down); }
+
     /// Returns its entry in the store. `born`: its start in Unix milliseconds.
     std::string entry(std::uint64_t born, std::uint64_t sequence) const;
 
@@ -191,6 +200,10 @@
 {
     std::string store;
     std::string grace_s = "8"; ///< as the platform writes it
+    std::string name = "edge-north-a-1";
+    std::string ip = "127.0.0.1"; ///< a loopback address
+    std::string seed_ip = "127.0.0.1";
+    std::vector<std::uint16_t> ports; ///< four; none: free ones
 };
 
 /// The project's gateway, started with the command of the deploy file.
@@ -203,19 +216,31 @@
     gateway(const gateway&) = delete;
     gateway& operator=(const gateway&) = delete;
 
+    /// Starts the process again, with the same settings.
+    void start();
+
     /// Waits until the process says that it is ready.
     bool wait_until_ready(milliseconds limit) const;
 
+    /// Waits until the process has ended.
+    bool wait_until_ended(milliseconds limit);
+
+    const std::vector<std::uint16_t>& ports() const { return ports_; }
+
     /// Returns whether the process has ended by itself.
     bool ended();
 
-    std::uint16_t port() const { return callers_; }
+    std::uint16_t port() const { return ports_.front(); }
+    const std::string& ip() const { return ip_; }
     void signal(int number) const;
 
 private:
     record& log_;
-    std::uint16_t callers_ = 0;
-    std::uint16_t readiness_ = 0;
+    std::string name_;
+    std::string ip_;
+    std::vector<std::uint16_t> ports_; ///< callers, readiness, two internal
+    std::string settings_path_;
+    std::string output_path_;
     pid_t process_ = -1;
 };
 
