--- a/review/standins-2/death_cases.cpp
+++ b/review/standins-2/death_cases.cpp
@@ -20,8 +20,14 @@
 /// Time for which an engine is down after a crash.
 constexpr milliseconds downtime{3000};
 constexpr milliseconds time_to_first_event{60};
-constexpr milliseconds event_pause{20};
-constexpr unsigned events = 4;
+
+/// The answers of engines.
+struct stream_shape final
+{
+    unsigned events;
+    milliseconds pause; ///< after each event
+    unsigned events_before_crash;
+};
 
 /// The part that crashes engines, and a first part that sound requests share
 /// with the ones that have it.
@@ -98,11 +104,9 @@
 class fragile_engine final
 {
 public:
-    /// `events_before`: number of events that it writes before a crash.
     fragile_engine(observations& seen, store& platform, const std::string& id,
-                   bool crashes, unsigned events_before)
-        : seen_(seen), platform_(platform), crashes_(crashes),
-          events_before_(events_before),
+                   bool crashes, const stream_shape& shape)
+        : seen_(seen), platform_(platform), crashes_(crashes), shape_(shape),
           server_(id, "model",
                   [this](connection& peer, const message& request)
                   { return run(peer, request); })
@@ -142,11 +146,11 @@
         {
             return false;
         }
-        for (unsigned number = 1; number <= events; ++number)
+        for (unsigned number = 1; number <= shape_.events; ++number)
         {
-            if (deadly && crashes_ && number > events_before_)
+            if (deadly && crashes_ && number > shape_.events_before_crash)
             {
-                pause(event_pause);
+                pause(shape_.pause);
                 crash(id);
                 return false;
             }
@@ -158,7 +162,7 @@
             {
                 return false;
             }
-            pause(event_pause);
+            pause(shape_.pause);
         }
         return peer.send("0\r\n\r\n");
     }
@@ -194,7 +198,7 @@
     observations& seen_;
     store& platform_;
     bool crashes_;
-    unsigned events_before_;
+    stream_shape shape_;
     std::atomic<std::uint64_t> born_{1'000'000};
     std::mutex mutex_;
     bool down_ = false;
@@ -207,7 +211,7 @@
 {
 public:
     fleet(const setting& given, unsigned gateway_count, bool crashes,
-          unsigned events_before)
+          const stream_shape& shape)
         : seen(given.log), platform_(given.log)
     {
         constexpr int count = 8;
@@ -215,8 +219,7 @@
         for (int i = 1; i <= count; ++i)
         {
             engines_.push_back(std::make_unique<fragile_engine>(
-                seen, platform_, "i-" + std::to_string(i), crashes,
-                events_before));
+                seen, platform_, "i-" + std::to_string(i), crashes, shape));
         }
         deployment values{platform_.address()};
         values.seed_ip = "127.0.0.2";
@@ -280,29 +283,15 @@
 class other_callers final
 {
 public:
-    other_callers(const fleet& nodes, record& log, bool shares_first_part)
+    /// `callers`: at each gateway.
+    other_callers(const fleet& nodes, record& log, bool shares_first_part,
+                  std::size_t callers)
     {
-        for (const auto& node : nodes.gateways)
+        for (std::size_t n = 0; n < callers * nodes.gateways.size(); ++n)
         {
-            threads_.emplace_back(
-                [this, &node, &log, shares_first_part, n = threads_.size()]
-                {
-                    for (int i = 0; !ending_; ++i)
-                    {
-                        const std::string first =
-                            shares_first_part && i % 2 == 0 ? first_part
-                                                            : "bb01";
-                        const int status = query(
-                            *node,
-                            "other-" + std::to_string(n) + "-" +
-                                std::to_string(i),
-                            first + ":500,cc0" + std::to_string(i % 9) + ":200",
-                            log);
-                        served_ += status == 200 ? 1 : 0;
-                        lost_ += status == 0 ? 1 : 0;
-                        pause(milliseconds(60));
-                    }
-                });
+            const auto& node = *nodes.gateways[n % nodes.gateways.size()];
+            threads_.emplace_back([this, &node, &log, shares_first_part, n]
+                                  { run(node, log, shares_first_part, n); });
         }
     }
 
@@ -322,6 +311,23 @@
     int lost() const { return lost_; }
 
 private:
+    void run(const gateway& node, record& log, bool shares_first_part,
+             std::size_t caller)
+    {
+        for (int i = 0; !ending_; ++i)
+        {
+            const std::string first =
+                shares_first_part && i % 2 == 0 ? first_part : "bb01";
+            const int status = query(
+                node,
+                "other-" + std::to_string(caller) + "-" + std::to_string(i),
+                first + ":500,cc0" + std::to_string(i % 9) + ":200", log);
+            served_ += status == 200 ? 1 : 0;
+            lost_ += status == 0 ? 1 : 0;
+            pause(milliseconds(60));
+        }
+    }
+
     std::atomic<bool> ending_{false};
     std::atomic<int> served_{0};
     std::atomic<int> lost_{0};
@@ -381,7 +387,7 @@
 {
     constexpr int requests = 80;
     constexpr milliseconds interval{500};
-    fleet nodes(given, 2, given.trouble, 1);
+    fleet nodes(given, 2, given.trouble, {20, milliseconds(30), 1});
     if (!nodes.wait_until_ready())
     {
         return verdict::not_run;
@@ -389,7 +395,7 @@
     int served = 0;
     int lost = 0;
     {
-        const other_callers others(nodes, given.log, true);
+        const other_callers others(nodes, given.log, true, 5);
         pause(milliseconds(3000));
         {
             const deadly_callers deadly(nodes, given.log, interval);
@@ -418,12 +424,12 @@
     constexpr milliseconds deadly_interval{250};
     constexpr milliseconds deadly_time{2000}; ///< before the kill
     constexpr milliseconds restart_delay{500};
-    fleet nodes(given, 1, true, 0);
+    fleet nodes(given, 1, true, {4, milliseconds(20), 0});
     if (!nodes.wait_until_ready())
     {
         return verdict::not_run;
     }
-    const other_callers others(nodes, given.log, false);
+    const other_callers others(nodes, given.log, false, 1);
     int number = 0;
     const auto send_burst = [&]
     {
--- a/review/standins-2/stand_ins.hpp
+++ b/review/standins-2/stand_ins.hpp
@@ -203,7 +203,7 @@
     std::string name = "edge-north-a-1";
     std::string ip = "127.0.0.1"; ///< a loopback address
     std::string seed_ip = "127.0.0.1";
-    std::vector<std::uint16_t> ports; ///< four; none: free ones
+    std::vector<std::uint16_t> ports = {}; ///< four; none: free ones
 };
 
 /// The project's gateway, started with the command of the deploy file.
