Tests: the stand-in of the store decodes queries as HTTP asks

The stand-in took parameters of a query as they came, so that a key that was not encoded worked there, and one that was encoded would not have. It now splits the query at &, takes + for a blank and %XX for a byte, and leaves out what follows #. A request that is not HTTP gets 400, as from a web server; before, its connection just ended.

For the tests of the faults that follow, it can also list keys that are not UTF-8 (as bytes or as escapes of lone surrogates), an item without a key, the first page again and again, and end watches at once or with bytes that are no JSON.

--- a/tests/standins/standin_server.cpp
+++ b/tests/standins/standin_server.cpp
@@ -13,6 +13,18 @@
 
 namespace mangolink::test
 {
+namespace
+{
+
+/// Returns whether a request was received that is not HTTP.
+bool is_malformed(const error_code& error)
+{
+    const error_code ended = http::error::end_of_stream;
+    return error.category() == ended.category() && error != ended &&
+           error != http::error::partial_message;
+}
+
+} // namespace
 
 scripted_answer scripted_answer::of(unsigned status, const std::string& body,
                                     const std::vector<std::string>& headers)
@@ -165,6 +177,12 @@
         parser.body_limit(max_body_bytes);
         error_code error;
         co_await http::async_read(*socket, buffer, parser, redirect_to(error));
+        if (is_malformed(error))
+        {
+            co_await send(socket, scripted_answer::of(400, ""));
+            close_socket(*socket);
+            co_return;
+        }
         if (error)
         {
             co_return;
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -1,6 +1,9 @@
 #include "standins/store_standin.hpp"
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_format.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 
@@ -16,15 +19,48 @@
 
 constexpr milliseconds watch_check_interval{10};
 
-std::string query_parameter(const std::string& target, const std::string& name)
+/// Decodes a part of a query: a plus is a blank, %XX is a byte.
+std::string decode_query_text(std::string_view text)
 {
-    const auto at = target.find(name + "=");
-    if (at == std::string::npos)
+    std::string decoded;
+    for (std::size_t at = 0; at < text.size(); ++at)
     {
-        return {};
+        const std::string digits(text.substr(at + 1, 2));
+        std::uint32_t byte = 0;
+        if (text[at] == '%' && digits.size() == 2 &&
+            absl::SimpleHexAtoi(digits, &byte))
+        {
+            decoded += static_cast<char>(byte);
+            at += 2;
+        }
+        else
+        {
+            decoded += text[at] == '+' ? ' ' : text[at];
+        }
+    }
+    return decoded;
+}
+
+/// Returns a parameter of the query of a target, or an empty text. A fragment
+/// is no part of the query.
+std::string query_parameter(std::string_view target, std::string_view name)
+{
+    target = target.substr(0, target.find('#'));
+    auto rest = target.substr(std::min(target.find('?'), target.size()));
+    while (!rest.empty())
+    {
+        rest.remove_prefix(1); // the separator
+        const auto field = rest.substr(0, rest.find('&'));
+        rest.remove_prefix(field.size());
+        const auto equals = field.find('=');
+        if (decode_query_text(field.substr(0, equals)) == name)
+        {
+            return equals == std::string_view::npos
+                       ? ""
+                       : decode_query_text(field.substr(equals + 1));
+        }
     }
-    const auto begin = at + name.size() + 1;
-    return target.substr(begin, target.find('&', begin) - begin);
+    return {};
 }
 
 } // namespace
@@ -95,6 +131,12 @@
     }
 }
 
+void store_standin::hide_key(const std::string& key)
+{
+    const std::lock_guard lock(mutex_);
+    hidden_key_ = key;
+}
+
 void store_standin::set_mode(store_mode mode)
 {
     const std::lock_guard lock(mutex_);
@@ -145,13 +187,19 @@
         {
             restore(*std::exchange(return_between_pages_, std::nullopt));
         }
-        reply(range(prefix, after));
+        reply(range(prefix, repeats_first_page_ ? "" : after));
     }
     else
     {
         const auto from = std::stoull(after);
         const milliseconds wait(std::stoll(query_parameter(target, "waitMs")));
-        if (auto now = events(prefix, from, false))
+        if (watch_mode_ == watch_mode::garbled)
+        {
+            reply(answer(200, "{\"events\":[\xff"));
+            return;
+        }
+        const bool ends_at_once = watch_mode_ == watch_mode::ended_at_once;
+        if (auto now = events(prefix, from, ends_at_once))
         {
             reply(std::move(*now));
             return;
@@ -188,7 +236,7 @@
     {
         return answer(404, "");
     }
-    auto body = entry_json(key, found->second);
+    auto body = json::parse(entry_json(key, found->second));
     body["at"] = state_.revision;
     return answer(200, body.dump());
 }
@@ -196,7 +244,7 @@
 scripted_answer store_standin::range(const std::string& prefix,
                                      const std::string& after) const
 {
-    auto entries = json::array();
+    std::vector<std::string> entries;
     bool more = false;
     for (const auto& [key, entry] : state_.items)
     {
@@ -211,9 +259,9 @@
         }
         entries.push_back(entry_json(key, entry));
     }
-    const json body{
-        {"entries", entries}, {"hasMore", more}, {"at", state_.revision}};
-    return answer(200, body.dump());
+    return answer(200, "{\"entries\":[" + absl::StrJoin(entries, ",") +
+                           "],\"hasMore\":" + (more ? "true" : "false") +
+                           ",\"at\":" + std::to_string(state_.revision) + "}");
 }
 
 std::optional<scripted_answer> store_standin::events(const std::string& prefix,
@@ -224,33 +272,57 @@
     {
         return answer(410, "");
     }
-    auto list = json::array();
+    std::vector<std::string> list;
     for (const auto& entry : state_.history)
     {
         if (entry.revision <= after || !entry.key.starts_with(prefix))
         {
             continue;
         }
+        const json removal{{"revision", entry.revision}, {"compacted", true}};
         list.push_back(entry.new_item ? entry_json(entry.key, *entry.new_item)
-                                      : json{{"key", entry.key},
-                                             {"revision", entry.revision},
-                                             {"compacted", true}});
+                                      : with_key(removal, entry.key));
     }
     if (list.empty() && !timed_out)
     {
         return std::nullopt;
     }
-    const json body{{"events", list}, {"at", state_.revision}};
-    return answer(200, body.dump());
+    return answer(200, "{\"events\":[" + absl::StrJoin(list, ",") +
+                           "],\"at\":" + std::to_string(state_.revision) + "}");
 }
 
-json store_standin::entry_json(const std::string& key, const item& entry) const
+std::string store_standin::entry_json(const std::string& key,
+                                      const item& entry) const
 {
-    return {{"key", key},
-            {"value", absl::Base64Escape(entry.value)},
-            {"revision", entry.revision},
-            {"creationRevision", entry.created},
-            {"leaseId", 0}};
+    const json fields{{"value", absl::Base64Escape(entry.value)},
+                      {"revision", entry.revision},
+                      {"creationRevision", entry.created},
+                      {"leaseId", 0}};
+    return key == hidden_key_ ? fields.dump() : with_key(fields, key);
+}
+
+std::string store_standin::with_key(const json& fields,
+                                    const std::string& key) const
+{
+    std::string text = "{\"key\":\"";
+    for (const char c : key)
+    {
+        const auto byte = static_cast<unsigned char>(c);
+        constexpr unsigned char first_beyond_ascii = 0x80;
+        if (byte >= first_beyond_ascii && escapes_key_bytes_)
+        {
+            absl::StrAppendFormat(&text, "\\udc%02x", byte);
+        }
+        else if (byte < ' ' || c == '"' || c == '\\')
+        {
+            absl::StrAppendFormat(&text, "\\u%04x", byte);
+        }
+        else
+        {
+            text += c; // also a byte that is not UTF-8
+        }
+    }
+    return text + "\"," + fields.dump().substr(1);
 }
 
 void store_standin::check_watches()
--- a/tests/standins/store_standin.hpp
+++ b/tests/standins/store_standin.hpp
@@ -22,6 +22,14 @@
     unresponsive ///< no answer
 };
 
+/// How the stand-in answers watches.
+enum class watch_mode : std::uint8_t
+{
+    waiting,       ///< once there is an event or the time is over
+    ended_at_once, ///< at once, also without an event
+    garbled        ///< at once, with bytes that are no JSON
+};
+
 /// Stand-in for the key-value store of the platform: single keys, paged ranges,
 /// watches, a history that can be compacted, and a return from an older copy.
 /// Thread safe.
@@ -64,6 +72,18 @@
     /// Leaves every nth call unanswered; 0 answers all.
     void drop_answer_every(unsigned calls) { drop_answer_every_ = calls; }
 
+    /// Sends bytes of keys that are not ASCII as escapes of lone surrogates,
+    /// like writers whose strings are UTF-16, instead of as they are.
+    void escape_key_bytes() { escapes_key_bytes_ = true; }
+
+    /// Lists the items under this key without a key.
+    void hide_key(const std::string& key);
+
+    /// Starts each page of a list at its first item.
+    void repeat_first_page() { repeats_first_page_ = true; }
+
+    void set_watch_mode(watch_mode mode) { watch_mode_ = mode; }
+
     std::string address() const { return server_.address().text(); }
 
     /// Returns the number of calls received.
@@ -109,7 +129,9 @@
     std::optional<scripted_answer> events(const std::string& prefix,
                                           std::uint64_t after,
                                           bool timed_out) const;
-    nlohmann::json entry_json(const std::string& key, const item& entry) const;
+    std::string entry_json(const std::string& key, const item& entry) const;
+    std::string with_key(const nlohmann::json& fields,
+                         const std::string& key) const;
     void answer_watches();
     void check_watches();
 
@@ -120,6 +142,10 @@
     std::optional<std::vector<std::pair<std::string, std::string>>>
         return_between_pages_; ///< written again then
     std::atomic<bool> sends_era_{true};
+    std::atomic<bool> escapes_key_bytes_{false};
+    std::atomic<bool> repeats_first_page_{false};
+    std::atomic<watch_mode> watch_mode_{watch_mode::waiting};
+    std::string hidden_key_;
     std::vector<pending_watch> watches_;
     store_mode mode_ = store_mode::serving;
     std::atomic<unsigned> drop_answer_every_{0};
