--- /dev/null
+++ b/tests/platform/odd_entry_test.cpp
@@ -0,0 +1,124 @@
+#include "support/section.hpp"
+#include "support/test_cluster.hpp"
+
+#include <thread>
+
+namespace mangolink::test
+{
+namespace
+{
+
+/// Reads of an idle gateway in a second: some watches that time out, and a few
+/// lists.
+constexpr std::uint64_t max_idle_reads = 40;
+
+} // namespace
+
+/// Entries of other writers among those of the servers: odd keys, keys that
+/// cannot be read, and none at all. They name no server to use; all others are
+/// used, however the list is divided into pages.
+class odd_entry_test final : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(odd_entry_test);
+    CPPUNIT_TEST(keys_that_queries_must_encode);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void keys_that_queries_must_encode()
+    {
+        for (const char* name : {"&", "+", "#", "%", "%41", "%2", "?", "=",
+                                 "a b", " ", "&after=", "&prefix=op/", "\x01",
+                                 "\n", "\x7f", "\"", "\\", "\xc3\xb8"})
+        {
+            section("name \"" + std::string(name) + "\"",
+                    [&] { serve_beside_odd_keys(name, {}); });
+        }
+    }
+
+private:
+    static backend_standin& prepare(test_cluster& cluster,
+                                    const std::string& id = "desk-1")
+    {
+        auto& server = cluster.add_backend("desk", id);
+        cluster.add_route("/orders/", "idempotent", "desk");
+        cluster.publish();
+        return server;
+    }
+
+    static std::string sound_value(const std::string& address)
+    {
+        return R"({"service":"desk","zone":"z1","state":"ready","sequence":1,)"
+               R"("slots":8,"address":")" +
+               address + "\"}";
+    }
+
+    /// Serves requests beside entries with a name: one last on its page, one
+    /// first, one alone, and one that is written, changed and removed later.
+    /// The server is on a page between them. Their value can't be read or, with
+    /// an address, looks like that of a server.
+    static void serve_beside_odd_keys(const std::string& name,
+                                      const std::string& address,
+                                      bool escaped = false)
+    {
+        test_cluster cluster;
+        store_standin& store = cluster.store();
+        if (escaped)
+        {
+            store.escape_key_bytes();
+        }
+        const auto value = address.empty() ? "{}" : sound_value(address);
+        // Pages have three items: the first ends with such a name, the second
+        // has no other, the server is on the third, the fourth has one item.
+        for (const char* id : {"a1", "a2", "d1"})
+        {
+            store.put("servers/" + std::string(id), "{}");
+        }
+        for (const auto& id : {"b" + name, "c" + name + "1", "c" + name + "2",
+                               "c" + name + "3", "f" + name, "g" + name})
+        {
+            store.put("servers/" + id, value);
+        }
+        store.put("op/" + name, "{}");
+        auto& server = prepare(cluster, "e1");
+        auto& gateway = cluster.start_gateway();
+        serve_requests(cluster, gateway);
+        const auto late = "servers/h" + name;
+        for (const auto& text : {value, std::string("{}"), value})
+        {
+            store.put(late, text);
+        }
+        serve_requests(cluster, gateway);
+        observe_reads(cluster);
+        store.remove(late);
+        serve_requests(cluster, gateway);
+        CPPUNIT_ASSERT(server.received().size() >= 60);
+    }
+
+    static void serve_requests(test_cluster& cluster, gateway_process& gateway)
+    {
+        test_caller caller(gateway.callers());
+        for (int i = 0; i < 20; ++i)
+        {
+            CPPUNIT_ASSERT_EQUAL(200U, send_request(cluster, caller));
+        }
+    }
+
+    static unsigned send_request(test_cluster& cluster, test_caller& caller)
+    {
+        const auto answer =
+            caller.send_request(cluster.request("/orders/x", "r"));
+        return answer ? answer->result_int() : 0;
+    }
+
+    /// Requires that the gateways read the store rarely.
+    static void observe_reads(test_cluster& cluster)
+    {
+        const auto before = cluster.store().calls();
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        CPPUNIT_ASSERT_LESS(max_idle_reads, cluster.store().calls() - before);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(odd_entry_test);
+
+} // namespace mangolink::test
