An entry whose key is no id names no server

Seen by callers: an entry of another writer under a key such as a&b, with a value that looks like a server's, was used. Requests went to its address. With a line end in the key, the text behind it became headers of the request.

Cause: the part of the key behind the prefix was taken as an id without a check, and put into X-Expect-Instance as it was.

Evidence: odd_entry_test::keys_that_name_no_server and translation_test::an_id_stands_for_itself_in_headers_and_lists.

Why this works: an id has to stand for itself in headers, lists and URLs.

--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -12,6 +12,9 @@
 /// lists.
 constexpr std::uint64_t max_idle_reads = 40;
 
+/// Text that ends a line, then more of a request.
+constexpr const char* injected_header = "x\r\nX-Urgency-Class: 0\r\nX-Odd: x";
+
 } // namespace
 
 /// Entries of other writers among those of the servers: odd keys, keys that
@@ -21,6 +24,7 @@
 {
     CPPUNIT_TEST_SUITE(odd_entry_test);
     CPPUNIT_TEST(keys_that_queries_must_encode);
+    CPPUNIT_TEST(keys_that_name_no_server);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -35,6 +39,33 @@
         }
     }
 
+    void keys_that_name_no_server()
+    {
+        for (const char* name :
+             {"&", "+", "#", "%", "a b", ",", ";", "\xc3\xb8", injected_header})
+        {
+            section("name \"" + std::string(name) + "\" with a sound value",
+                    [&]
+                    {
+                        backend_standin foreign("foreign");
+                        serve_beside_odd_keys(name, foreign.address());
+                        CPPUNIT_ASSERT(foreign.received().empty());
+                    });
+        }
+        section("the prefix alone",
+                []
+                {
+                    test_cluster cluster;
+                    prepare(cluster);
+                    backend_standin foreign("foreign");
+                    cluster.store().put("servers/",
+                                        sound_value(foreign.address()));
+                    auto& gateway = cluster.start_gateway();
+                    serve_requests(cluster, gateway);
+                    CPPUNIT_ASSERT(foreign.received().empty());
+                });
+    }
+
 private:
     static backend_standin& prepare(test_cluster& cluster,
                                     const std::string& id = "desk-1")
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(holds_are_read);
     CPPUNIT_TEST(rate_limits_are_checked);
     CPPUNIT_TEST(an_odd_entry_names_no_server);
+    CPPUNIT_TEST(an_id_stands_for_itself_in_headers_and_lists);
     CPPUNIT_TEST(odd_numbers_in_a_configuration_are_bounded);
     CPPUNIT_TEST(prompts_with_a_shared_prefix_have_the_same_affinity);
     CPPUNIT_TEST(stage_answers_are_read);
@@ -201,6 +202,25 @@
                 });
     }
 
+    void an_id_stands_for_itself_in_headers_and_lists()
+    {
+        const std::string text =
+            R"({"service":"desk","zone":"z1","state":"ready","sequence":1,)"
+            R"("address":"127.0.0.1:9"})";
+        for (const char* id :
+             {"", " ", "a b", "a&b", "a+b", "a#b", "a%b", "a,b", "a\"b",
+              "a\r\nb", "\x7f", "\xc3\xb8", "\xff"})
+        {
+            CPPUNIT_ASSERT_THROW(platform::read_server(id, text, {}),
+                                 std::invalid_argument);
+        }
+        for (const char* id : {"i-7f3a91c2", "10.0.0.1:9", "a/b", "A.b_c~d@e"})
+        {
+            CPPUNIT_ASSERT_EQUAL(std::string(id),
+                                 platform::read_server(id, text, {}).id);
+        }
+    }
+
     void odd_numbers_in_a_configuration_are_bounded()
     {
         const auto read = [](const std::string& route)
