A key that is not text leaves the rest of an answer readable

Seen by callers: with a key that is not UTF-8 in the store, gateways that started were never ready. As an event of a watch it failed the watch, and the list that follows a failed watch.

Cause: an answer of the store was parsed as a whole, and bytes that are not UTF-8, or escapes of lone surrogates, discard the whole document.

Evidence: odd_entry_test::keys_that_are_not_utf_8 (bytes and escapes) and zones_that_are_not_utf_8; on: "response is not a JSON object" for servers and configuration, never ready.

Such a key names no server. As a zone it is ignored: in messages between gateways and in pages for operators such bytes would spoil the whole message.

--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST_SUITE(odd_entry_test);
     CPPUNIT_TEST(keys_that_queries_must_encode);
     CPPUNIT_TEST(keys_that_name_no_server);
+    CPPUNIT_TEST(keys_that_are_not_utf_8);
+    CPPUNIT_TEST(zones_that_are_not_utf_8);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -66,6 +68,62 @@
                 });
     }
 
+    void keys_that_are_not_utf_8()
+    {
+        for (const bool escaped : {false, true})
+        {
+            for (const char* name : {"\xff", "\xc3", "\xe2\x82", "a\x80z"})
+            {
+                section(escaped ? "as escapes of surrogates" : "as bytes",
+                        [&] { serve_beside_odd_keys(name, {}, escaped); });
+            }
+        }
+    }
+
+    void zones_that_are_not_utf_8()
+    {
+        test_cluster cluster;
+        auto& server = prepare(cluster);
+        cluster.store().put("op/evacuate/\xff", "{}");
+        cluster.store().put("op/evacuate/a&b", "{}");
+        auto& reader = cluster.start_gateway();
+        auto& other = cluster.start_gateway();
+        section("another gateway follows the one that reads the store",
+                [&]
+                {
+                    CPPUNIT_ASSERT(bench::wait_until(
+                        [&] {
+                            return reader.reads_store() != other.reads_store();
+                        }));
+                });
+        cluster.store().put("op/evacuate/\xfe", "{}");
+        observe_reads(cluster);
+        CPPUNIT_ASSERT(reader.reads_store() != other.reads_store());
+        serve_requests(cluster, reader);
+        serve_requests(cluster, other);
+        section("operators see the zones that can be read",
+                [&]
+                {
+                    CPPUNIT_ASSERT(
+                        reader.fetch_operator_page("/placement").find("a&b") !=
+                        std::string::npos);
+                });
+        section("the zones of the servers are still evacuated",
+                [&]
+                {
+                    cluster.evacuate("z1");
+                    const auto refused = [&]
+                    {
+                        const auto before = server.received().size();
+                        test_caller caller(other.callers());
+                        caller.send_request(
+                            cluster.request("/orders/x", "evacuated"));
+                        return server.received().size() == before;
+                    };
+                    CPPUNIT_ASSERT(bench::wait_until(refused));
+                });
+    }
+
 private:
     static backend_standin& prepare(test_cluster& cluster,
                                     const std::string& id = "desk-1")
