Use what was read of a list that does not advance

Seen by callers: an item without a key, or pages that repeat, and gateways that started were never ready.

Cause: the end of a list was told by hasMore alone. An item without a key at the end of a page let the list begin anew; a page without anything new was asked for again at once, without end, and what was read added up.

Why this works: a page advances a list if it has a key that no page before had, and the next one begins after the last such key. If a page does not, reading ends.

--- a/src/roles/gateway_state_updater.cpp
+++ b/src/roles/gateway_state_updater.cpp
@@ -130,6 +130,15 @@
     replace_relayed_servers(std::move(current), now);
 }
 
+void gateway_state_updater::add_servers(std::vector<backend_server> servers)
+{
+    for (auto& server : servers)
+    {
+        put(std::move(server));
+    }
+    state_.mark_servers_listed();
+}
+
 void gateway_state_updater::replace_relayed_servers(
     std::vector<backend_server> servers, boot_clock::time_point now)
 {
@@ -308,6 +317,14 @@
                 {{"key", std::string(key)}, {"reason", std::string(reason)}});
 }
 
+void gateway_state_updater::report_partial_list(std::string_view prefix,
+                                                std::string_view after)
+{
+    log_warning(
+        "platform", "List cannot be read to its end.",
+        {{"prefix", std::string(prefix)}, {"after", std::string(after)}});
+}
+
 void gateway_state_updater::on_source_answered(std::string_view operation,
                                                boot_clock::time_point now)
 {
--- a/src/roles/gateway_state_updater.hpp
+++ b/src/roles/gateway_state_updater.hpp
@@ -72,6 +72,9 @@
     void replace_servers(std::vector<backend_server> servers,
                          boot_clock::time_point now);
 
+    /// Adds or updates the servers of a list from the store that may lack some.
+    void add_servers(std::vector<backend_server> servers);
+
     /// Replaces all entries by those that another process relays.
     void replace_relayed_servers(std::vector<backend_server> servers,
                                  boot_clock::time_point now);
@@ -108,6 +111,9 @@
     /// Logs a published value that cannot be parsed.
     void report_invalid_value(std::string_view key, std::string_view reason);
 
+    /// Logs that a list cannot be read beyond the page after a key.
+    void report_partial_list(std::string_view prefix, std::string_view after);
+
     /// Records that the store came back from an older copy: entries of live
     /// servers may be missing until they are written again.
     void on_store_restored(std::uint64_t era_before, std::uint64_t era,
--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(keys_that_name_no_server);
     CPPUNIT_TEST(keys_that_are_not_utf_8);
     CPPUNIT_TEST(zones_that_are_not_utf_8);
+    CPPUNIT_TEST(items_without_a_key);
+    CPPUNIT_TEST(a_list_that_does_not_advance);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -124,6 +126,70 @@
                 });
     }
 
+    void items_without_a_key()
+    {
+        for (const char* key : {"servers/b", "servers/c", "servers/e"})
+        {
+            section("the item of " + std::string(key),
+                    [&]
+                    {
+                        // Pages have three items.
+                        test_cluster cluster;
+                        for (const char* id : {"a1", "a2", "b", "c", "e"})
+                        {
+                            cluster.store().put("servers/" + std::string(id),
+                                                "{}");
+                        }
+                        auto& server = prepare(cluster, "d");
+                        cluster.store().hide_key(key);
+                        auto& gateway = cluster.start_gateway();
+                        serve_requests(cluster, gateway);
+                        CPPUNIT_ASSERT(!server.received().empty());
+                        observe_reads(cluster);
+                    });
+        }
+    }
+
+    void a_list_that_does_not_advance()
+    {
+        test_cluster cluster;
+        auto& server = prepare(cluster, "a1");
+        for (const char* id : {"a2", "a3", "a4", "a5"})
+        {
+            cluster.store().put("servers/" + std::string(id), "{}");
+        }
+        cluster.store().repeat_first_page();
+        auto& gateway = cluster.start_gateway();
+        serve_requests(cluster, gateway);
+        observe_reads(cluster);
+        section("the log tells",
+                [&]
+                {
+                    CPPUNIT_ASSERT(gateway.log_text().find(
+                                       "List cannot be read to its end") !=
+                                   std::string::npos);
+                });
+        section("a server that joins later is used, one that leaves is not",
+                [&]
+                {
+                    auto& late = cluster.add_backend("desk", "z9");
+                    cluster.unregister_server("a1");
+                    test_caller caller(gateway.callers());
+                    CPPUNIT_ASSERT(bench::wait_until(
+                        [&]
+                        {
+                            const auto before = late.received().size();
+                            const auto left = server.received().size();
+                            send_request(cluster, caller);
+                            return late.received().size() > before &&
+                                   server.received().size() == left;
+                        }));
+                    const auto left = server.received().size();
+                    serve_requests(cluster, gateway);
+                    CPPUNIT_ASSERT_EQUAL(left, server.received().size());
+                });
+    }
+
 private:
     static backend_standin& prepare(test_cluster& cluster,
                                     const std::string& id = "desk-1")
