--- a/src/roles/gateway_state_updater.cpp
+++ b/src/roles/gateway_state_updater.cpp
@@ -325,6 +325,12 @@
         {{"prefix", std::string(prefix)}, {"after", std::string(after)}});
 }
 
+void gateway_state_updater::report_early_watch(std::string_view operation)
+{
+    log_warning("platform", "Watch ended early without a change.",
+                {{"for", std::string(operation)}});
+}
+
 void gateway_state_updater::on_source_answered(std::string_view operation,
                                                boot_clock::time_point now)
 {
--- a/src/roles/gateway_state_updater.hpp
+++ b/src/roles/gateway_state_updater.hpp
@@ -111,8 +111,10 @@
     /// Logs a published value that cannot be parsed.
     void report_invalid_value(std::string_view key, std::string_view reason);
 
-    /// Logs that a list cannot be read beyond the page after a key.
+    /// Log that the store does not answer as specified: a list cannot be read
+    /// beyond the page after a key, and watches end early without a change.
     void report_partial_list(std::string_view prefix, std::string_view after);
+    void report_early_watch(std::string_view operation);
 
     /// Records that the store came back from an older copy: entries of live
     /// servers may be missing until they are written again.
--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(zones_that_are_not_utf_8);
     CPPUNIT_TEST(items_without_a_key);
     CPPUNIT_TEST(a_list_that_does_not_advance);
+    CPPUNIT_TEST(watches_that_end_at_once);
+    CPPUNIT_TEST(watch_answers_that_cannot_be_read);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -190,6 +192,46 @@
                 });
     }
 
+    void watches_that_end_at_once()
+    {
+        test_cluster cluster;
+        prepare(cluster);
+        auto& gateway = cluster.start_gateway();
+        cluster.store().set_watch_mode(watch_mode::ended_at_once);
+        observe_reads(cluster);
+        section("changes are still read",
+                [&]
+                {
+                    cluster.add_route("/late/", "idempotent", "desk");
+                    cluster.publish();
+                    test_caller caller(gateway.callers());
+                    CPPUNIT_ASSERT(bench::wait_until(
+                        [&]
+                        {
+                            const auto answer = caller.send_request(
+                                cluster.request("/late/x", "late"));
+                            return answer && answer->result_int() == 200;
+                        }));
+                });
+        section("the log tells",
+                [&]
+                {
+                    CPPUNIT_ASSERT(gateway.log_text().find(
+                                       "Watch ended early without a change") !=
+                                   std::string::npos);
+                });
+    }
+
+    void watch_answers_that_cannot_be_read()
+    {
+        test_cluster cluster;
+        prepare(cluster);
+        auto& gateway = cluster.start_gateway();
+        cluster.store().set_watch_mode(watch_mode::garbled);
+        observe_reads(cluster);
+        serve_requests(cluster, gateway);
+    }
+
 private:
     static backend_standin& prepare(test_cluster& cluster,
                                     const std::string& id = "desk-1")
