A host with a NUL is no address

An entry with the address 127.0.0.1\u0000 and further text before the port was taken for sound: inet_pton() reads up to the NUL. The whole text then went into the Host header of calls, line ends included.

Evidence: translation_test::a_host_is_no_other_text; on read_server() accepted it. Now socket_address::parse() refuses it, for all its users.

--- a/src/base/socket_address.cpp
+++ b/src/base/socket_address.cpp
@@ -20,7 +20,9 @@
     const char* end = digits.data() + digits.size();
     const auto read = std::from_chars(digits.data(), end, result.port);
     in_addr unused{};
-    if (digits.empty() || read.ec != std::errc() || read.ptr != end ||
+    // inet_pton() would read up to a NUL only.
+    if (digits.empty() || result.host.find('\0') != std::string::npos ||
+        read.ec != std::errc() || read.ptr != end ||
         inet_pton(AF_INET, result.host.c_str(), &unused) != 1)
     {
         return std::nullopt;
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(rate_limits_are_checked);
     CPPUNIT_TEST(an_odd_entry_names_no_server);
     CPPUNIT_TEST(an_id_stands_for_itself_in_headers_and_lists);
+    CPPUNIT_TEST(a_host_is_no_other_text);
     CPPUNIT_TEST(odd_numbers_in_a_configuration_are_bounded);
     CPPUNIT_TEST(prompts_with_a_shared_prefix_have_the_same_affinity);
     CPPUNIT_TEST(stage_answers_are_read);
@@ -221,6 +222,21 @@
         }
     }
 
+    void a_host_is_no_other_text()
+    {
+        for (const char* host :
+             {"127.0.0.1\\u0000", "127.0.0.1\\u0000\\r\\nX-Odd: x",
+              "127.0.0.1 ", "host", ""})
+        {
+            const std::string text =
+                R"({"service":"desk","zone":"z1","state":"ready",)"
+                R"("sequence":1,"address":")" +
+                std::string(host) + ":9\"}";
+            CPPUNIT_ASSERT_THROW(platform::read_server("id", text, {}),
+                                 std::invalid_argument);
+        }
+    }
+
     void odd_numbers_in_a_configuration_are_bounded()
     {
         const auto read = [](const std::string& route)
