A handle that can't stand in a list names no result

A stage server's handle was taken as it came. X-Input-Count joins handles by commas, so that one with a comma named other results, and one with a line end added headers to the request at the model server.

Evidence: the section on handles of translation_test:: stage_answers_are_read; on such items counted as made.

--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -294,6 +294,23 @@
                         protocol_.read_stage_answer(R"({"entries":[]})", 1)
                             .empty());
                 });
+        section(
+            "a handle that cannot stand in a list or header names no result",
+            [&]
+            {
+                const auto odd = protocol_.read_stage_answer(
+                    R"({"entries":[{"handle":""},{"handle":"1:5/a,1:5/b"},
+                            {"handle":"1:5/a b"},{"handle":"1:5/\r\nX-Odd: x"},
+                            {"handle":"1:5/\u00f8"},{"handle":"1:5/a"}]})",
+                    6);
+                CPPUNIT_ASSERT_EQUAL(std::size_t(6), odd.size());
+                for (std::size_t i = 0; i < 5; ++i)
+                {
+                    CPPUNIT_ASSERT(odd[i].end == stage_item_outcome::failed);
+                    CPPUNIT_ASSERT(odd[i].handle.empty());
+                }
+                CPPUNIT_ASSERT(odd[5].end == stage_item_outcome::made);
+            });
     }
 
     /// Parses valid values with random bytes replaced, cut off or repeated.
