Read events whose id is empty

An event of a stream with an "id:" line that has no text behind it let event_number() throw, which ended the request of the stream.

Cause: substr() with the position that find_first_not_of() returns if there is nothing else than blanks.

Evidence: translation_test::events_without_a_number_are_read; on "basic_string_view::substr: __pos". Such an event has no number, like one without an id.

--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(an_id_stands_for_itself_in_headers_and_lists);
     CPPUNIT_TEST(a_host_is_no_other_text);
     CPPUNIT_TEST(odd_numbers_in_a_configuration_are_bounded);
+    CPPUNIT_TEST(events_without_a_number_are_read);
     CPPUNIT_TEST(prompts_with_a_shared_prefix_have_the_same_affinity);
     CPPUNIT_TEST(stage_answers_are_read);
     CPPUNIT_TEST(corrupted_input_is_handled);
@@ -257,6 +258,16 @@
             std::invalid_argument);
     }
 
+    void events_without_a_number_are_read()
+    {
+        for (const char* event : {"id:\ndata: x\n\n", "id: \ndata: x\n\n",
+                                  "id: x\n\n", "data: x\n\n"})
+        {
+            CPPUNIT_ASSERT(!protocol_.event_number(event));
+        }
+        CPPUNIT_ASSERT(protocol_.event_number("id:  7\ndata: x\n\n") == 7U);
+    }
+
     void prompts_with_a_shared_prefix_have_the_same_affinity()
     {
         const auto read = [this](const char* parts)
