Escape control characters in log lines

Texts of entries (keys, states, reasons) went to the log with their control characters but for line ends: an entry could write escape sequences to an operator's terminal, and NULs into the file.

They are now written as \xNN, in the one function that formats fields.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,5 +1,7 @@
 #include "base/log.hpp"
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_format.h>
 #include <easylogging++.h>
 
 // Defines the global state of Easylogging++; required once per program.
@@ -21,7 +23,19 @@
         {
             result += '\\';
         }
-        result += (c == '\n' || c == '\r') ? ' ' : c;
+        if (c == '\n' || c == '\r')
+        {
+            result += ' ';
+        }
+        else if (absl::ascii_iscntrl(static_cast<unsigned char>(c)))
+        {
+            absl::StrAppendFormat(&result, "\\x%02x",
+                                  static_cast<unsigned char>(c));
+        }
+        else
+        {
+            result += c;
+        }
     }
     return result;
 }
--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(a_list_that_does_not_advance);
     CPPUNIT_TEST(watches_that_end_at_once);
     CPPUNIT_TEST(watch_answers_that_cannot_be_read);
+    CPPUNIT_TEST(texts_with_control_characters_in_the_log);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -232,6 +233,28 @@
         serve_requests(cluster, gateway);
     }
 
+    void texts_with_control_characters_in_the_log()
+    {
+        test_cluster cluster;
+        prepare(cluster);
+        cluster.store().put("servers/\x1b[2J", "{}");
+        cluster.store().put(
+            "servers/state",
+            R"({"service":"desk","address":"127.0.0.1:9","zone":"z1",)"
+            R"("sequence":1,"state":"\u001b[2J\u0000\n"})");
+        auto& gateway = cluster.start_gateway();
+        CPPUNIT_ASSERT(bench::wait_until(
+            [&] {
+                return gateway.log_text().find("unknown state") !=
+                       std::string::npos;
+            }));
+        const auto log = gateway.log_text();
+        for (const char control : {'\0', '\x1b'})
+        {
+            CPPUNIT_ASSERT(log.find(control) == std::string::npos);
+        }
+    }
+
 private:
     static backend_standin& prepare(test_cluster& cluster,
                                     const std::string& id = "desk-1")
