Escape values of labels in metrics

A name of the configuration with a quote, a backslash or a line end made the page of metrics unreadable for those who collect it: values of labels were put between quotes as they were, at each place by itself.

--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -18,6 +18,21 @@
 
 } // namespace
 
+std::string metric_label(std::string_view name, std::string_view value)
+{
+    std::string label(name);
+    label += "=\"";
+    for (const char c : value)
+    {
+        if (c == '"' || c == '\\')
+        {
+            label += '\\';
+        }
+        label += c == '\n' ? "\\n" : std::string(1, c);
+    }
+    return label + '"';
+}
+
 duration_histogram::duration_histogram()
     : bins_(boost::histogram::make_histogram_with(
           storage_type(), axis_type(bin_count, min_duration_s, max_duration_s)))
--- a/src/base/metrics.hpp
+++ b/src/base/metrics.hpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 
 namespace mangolink
 {
@@ -60,6 +61,9 @@
     std::atomic<std::uint64_t> sum_us_{0};
 };
 
+/// Returns a label of a metric, whose value may be any text.
+std::string metric_label(std::string_view name, std::string_view value);
+
 /// All metrics of a process, exported as one text page.
 ///
 /// References stay valid for the lifetime of the registry. A lookup takes a
--- a/src/connection/entry_server.cpp
+++ b/src/connection/entry_server.cpp
@@ -254,14 +254,13 @@
 void entry_server::count_result(const open_request& open,
                                 const run_result& result)
 {
-    const std::string labels = "pipeline=\"" + open.pipeline + "\",code=\"" +
-                               std::string(describe(result.code).name) + "\"";
+    const std::string pipeline = metric_label("pipeline", open.pipeline);
+    const std::string labels =
+        pipeline + "," + metric_label("code", describe(result.code).name);
     metrics_.counter("mangolink_requests_total", labels).add();
     if (result.end == outcome::complete)
     {
-        metrics_
-            .histogram("mangolink_request_seconds",
-                       "pipeline=\"" + open.pipeline + "\"")
+        metrics_.histogram("mangolink_request_seconds", pipeline)
             .add(elapsed_since(open.received));
     }
     else if (result.end == outcome::not_run)
--- a/src/connection/request_record.cpp
+++ b/src/connection/request_record.cpp
@@ -23,11 +23,11 @@
         boot_clock::now() - request.arrival);
     const std::string route =
         request.route == nullptr ? "" : request.route->name;
-    const std::string label = "route=\"" + route + "\"";
+    const std::string label = metric_label("route", route);
     const std::string status = std::to_string(end.status);
     metrics
         .counter("mangolink_requests_total",
-                 label + ",status=\"" + status + "\"")
+                 label + "," + metric_label("status", status))
         .add();
     metrics.histogram("mangolink_request_seconds", label).add(duration);
     if (!log_enabled(log_level::notice))
--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -541,7 +541,8 @@
             const std::string end = names[static_cast<std::size_t>(answer.end)];
             metrics_
                 .counter("mangolink_stage_pieces_failed_total",
-                         "service=\"" + task.service + "\",end=\"" + end + "\"")
+                         metric_label("service", task.service) + "," +
+                             metric_label("end", end))
                 .add();
             log_notice("stage", "Stage item failed.",
                        {{"id", task.request_id},
@@ -586,7 +587,7 @@
                             const stage_call_result& result)
 {
     const std::string service = entry.server ? entry.server->service : "";
-    const std::string label = "service=\"" + service + "\"";
+    const std::string label = metric_label("service", service);
     metrics_.counter("mangolink_stage_calls_total", label).add();
     metrics_.counter("mangolink_stage_pieces_total", label).add(items);
     const std::string call_text = std::to_string(items) + " items in " +
--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(watches_that_end_at_once);
     CPPUNIT_TEST(watch_answers_that_cannot_be_read);
     CPPUNIT_TEST(texts_with_control_characters_in_the_log);
+    CPPUNIT_TEST(names_in_labels_of_metrics);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -255,6 +256,19 @@
         }
     }
 
+    void names_in_labels_of_metrics()
+    {
+        test_cluster cluster;
+        prepare(cluster);
+        cluster.configuration()["routes"][0]["name"] = "a\"b\\c\nd";
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        serve_requests(cluster, gateway);
+        CPPUNIT_ASSERT(gateway.fetch_operator_page("/metrics")
+                           .find(R"({route="a\"b\\c\nd",status="200"} 20)") !=
+                       std::string::npos);
+    }
+
 private:
     static backend_standin& prepare(test_cluster& cluster,
                                     const std::string& id = "desk-1")
