An odd entry of the instance list ends no process

Seen: an instance list with an entry whose name, zone or state is no text ended entries and agents: the exception of the conversion left the thread that reads the list. A list that could not be read at all was taken for an empty one, as if all instances were gone.

Why this works: each entry is read by itself, and one that names no instance is left out. A list that can't be read is a failed call, after which the last list holds.

--- a/src/connection/platform_reader.cpp
+++ b/src/connection/platform_reader.cpp
@@ -17,20 +17,52 @@
 constexpr milliseconds stop_poll_interval{20};
 constexpr std::uint32_t http_ok = 200;
 
-std::vector<instance_entry> parse_instances(const std::string& body)
+/// Returns a text field, which may be missing, or nothing if it is no text.
+std::optional<std::string> text_field(const json& object, const char* name)
+{
+    const auto found = object.find(name);
+    if (found == object.end())
+    {
+        return "";
+    }
+    return found->is_string() ? std::optional(found->get<std::string>())
+                              : std::nullopt;
+}
+
+std::optional<instance_entry> parse_instance(const json& item)
+{
+    const auto name = text_field(item, "name");
+    const auto zone = text_field(item, "zone");
+    const auto state = text_field(item, "state");
+    if (!item.is_object() || !name || name->empty() || !zone || !state)
+    {
+        return std::nullopt;
+    }
+    return instance_entry{*name, *zone, *state == "leaving"};
+}
+
+/// Returns the instances of a list without entries that name none, or nothing
+/// if it is no list.
+std::optional<std::vector<instance_entry>>
+parse_instances(const std::string& body)
 {
-    std::vector<instance_entry> result;
     const json parsed = json::parse(body, nullptr, false);
-    if (!parsed.is_object() || !parsed.contains("instances"))
+    if (!parsed.is_object() || !parsed.contains("instances") ||
+        !parsed["instances"].is_array())
     {
-        return result;
+        return std::nullopt;
     }
+    std::vector<instance_entry> result;
     for (const auto& item : parsed["instances"])
     {
-        if (item.is_object())
+        if (auto instance = parse_instance(item))
         {
-            result.push_back({item.value("name", ""), item.value("zone", ""),
-                              item.value("state", "") == "leaving"});
+            result.push_back(std::move(*instance));
+        }
+        else
+        {
+            log_detail("instances", "Ignored an entry that names no instance.",
+                       {});
         }
     }
     return result;
@@ -193,14 +225,21 @@
         call.url = "http://" + settings_.instance_list + "/v1/instances";
         call.limit = settings_.request_timeout;
         const http_result result = list_client_.call(call);
-        if (result.status == http_ok)
+        auto instances = result.status == http_ok ? parse_instances(result.body)
+                                                  : std::nullopt;
+        if (instances)
         {
-            auto instances = parse_instances(result.body);
             {
                 const std::lock_guard lock(schedule_mutex_);
-                schedule_.update_instances(instances);
+                schedule_.update_instances(*instances);
             }
-            events_.on_instances(std::move(instances));
+            events_.on_instances(std::move(*instances));
+        }
+        else
+        {
+            log_detail("instances", "Instance list request failed.",
+                       {{"reason", result.status == http_ok ? "not a list"
+                                                            : result.error}});
         }
         if (!wait_until(boot_clock::now() + settings_.list_interval))
         {
