Send a request only with all results of its stages

Callers saw: 502 with seconds left, after an engine had ended inside the first event of a stream.

Cause: any byte of the body counted as the first event, upon which the stage results are released. Retries and standby attempts took it from other signs whether results were left: a request whose stream had not begun for its caller was taken to have them.

Why this works: the first event is reported when it is complete, and request_stages itself tells whether the results are there. All sends pass attempt_sender::next(), which asks that last before it builds the request. Retries, resumed streams and standby attempts ask the same and run the stages again otherwise. The marks of the run and of the standby attempt, which could disagree, are gone.

--- a/src/connection/attempt_sender.cpp
+++ b/src/connection/attempt_sender.cpp
@@ -67,7 +67,7 @@
     auto& state = context_.state;
     const auto is_wanted = [&]
     {
-        return wanted() &&
+        return wanted() && (stages == nullptr || stages->has_results()) &&
                !context_.prompts.is_quarantined(accepted_.metadata.prompt);
     };
     std::uint32_t unsent = 0;
--- a/src/connection/attempt_sender.hpp
+++ b/src/connection/attempt_sender.hpp
@@ -38,8 +38,9 @@
     ~attempt_sender();
 
     /// Connects to a server. Returns an attempt that is not sent yet, or null
-    /// if there is no server or `wanted` becomes false. `stages`: those whose
-    /// results the server will read, or null.
+    /// if there is no server, `wanted` becomes false or the results of `stages`
+    /// are missing. `stages`: those whose results the server will read, or
+    /// null.
     asio::awaitable<attempt_pointer> next(const request_stages* stages,
                                           std::function<bool()> wanted);
 
--- a/src/connection/forward_attempt.cpp
+++ b/src/connection/forward_attempt.cpp
@@ -6,6 +6,7 @@
 #include "process/backend_server.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace mangolink
 {
@@ -209,19 +210,18 @@
     streams_ = false;
     end_ = attempt_outcome::broken;
     const bool resumed = stream.begun();
-    bool first = true;
+    bool first_seen = false;
     bool open = true;
     std::size_t known = 0;
     auto last_event = boot_clock::now();
     while (true)
     {
-        if (first && !pending_.empty())
+        const auto received = pending_.size();
+        const bool has_event = has_complete_event(pending_, known);
+        if (has_event && !std::exchange(first_seen, true))
         {
-            first = false;
             on_first_event();
         }
-        const auto received = pending_.size();
-        const bool has_event = has_complete_event(pending_, known);
         has_output_ = has_output_ || has_event;
         if (!open || received > max_event_bytes || has_event)
         {
--- a/src/connection/forward_attempt.hpp
+++ b/src/connection/forward_attempt.hpp
@@ -35,7 +35,8 @@
     asio::awaitable<void> read_first_event(attempt_limits limits);
 
     /// Forwards the events of the stream as they arrive; `on_first_event` is
-    /// called before the first one.
+    /// called before the first complete one. A server may end inside an event,
+    /// and the request is then sent again as if it had got none.
     asio::awaitable<void> forward_events(attempt_limits limits,
                                          stream_forwarder& stream,
                                          std::function<void()> on_first_event);
--- a/src/connection/forward_run.cpp
+++ b/src/connection/forward_run.cpp
@@ -321,12 +321,10 @@
         break;
     case next_step::retry:
     case next_step::resume:
-        if (!stages_ || (!inputs_gone_ && step == next_step::retry))
+        if (!stages_ || stages_->has_results())
         {
             co_return true;
         }
-        // Results are lost, or were released when the stream began.
-        inputs_gone_ = false;
         stages_->finish();
         stages_ = make_stages();
         co_return co_await run_stages();
@@ -369,7 +367,8 @@
     {
         const std::function<void()> on_first_event = [this]
         {
-            // The server has read the stage results.
+            // The server has read the stage results, and a begun stream is
+            // resumed with new ones.
             if (stages_)
             {
                 stages_->restart();
@@ -380,7 +379,10 @@
     current_ = nullptr;
     caller_gone_ = caller_gone_ || attempt.caller_gone();
     sender_->record(attempt, caller_gone_);
-    inputs_gone_ = attempt.end() == attempt_outcome::inputs_gone;
+    if (attempt.end() == attempt_outcome::inputs_gone && stages_)
+    {
+        stages_->mark_results_lost();
+    }
 }
 
 void forward_run::start_standby()
@@ -425,9 +427,7 @@
     {
         co_return nullptr;
     }
-    // The results are released when the stream begins.
-    const bool has_results = !stream_->begun() && !standby.inputs_gone();
-    if (!stages_ || has_results)
+    if (!stages_ || stages_->has_results())
     {
         co_return co_await send_elsewhere(standby, stages_);
     }
@@ -486,9 +486,9 @@
     }
     // Its connection may be in use by another request from now on.
     standby.hold(std::shared_ptr<backend_exchange>());
-    if (attempt->end() == attempt_outcome::inputs_gone)
+    if (attempt->end() == attempt_outcome::inputs_gone && stages)
     {
-        standby.set_inputs_gone();
+        stages->mark_results_lost();
     }
     sender_->record(*attempt, standby.stopped());
     co_return nullptr;
--- a/src/connection/forward_run.hpp
+++ b/src/connection/forward_run.hpp
@@ -101,8 +101,7 @@
 
     forward_attempt* current_ = nullptr;       ///< in progress
     std::shared_ptr<standby_attempt> standby_; ///< while the server is silent
-    bool inputs_gone_ = false;
-    bool has_output_ = false; ///< from a server
+    bool has_output_ = false;                  ///< from a server
     bool caller_gone_ = false;
     bool timed_out_ = false;
     bool stop_limit_reached_ = false;
--- a/src/connection/request_stages.cpp
+++ b/src/connection/request_stages.cpp
@@ -62,6 +62,7 @@
 void request_stages::restart()
 {
     dispatcher_.release(plan_.restart());
+    results_lost_ = false;
     ++repeats_;
 }
 
--- a/src/connection/request_stages.hpp
+++ b/src/connection/request_stages.hpp
@@ -50,6 +50,13 @@
     /// Releases all results; execute() runs every item again.
     void restart();
 
+    /// Returns whether the results of all items are available. Without them the
+    /// request must not be sent to a server.
+    bool has_results() const { return plan_.complete() && !results_lost_; }
+
+    /// Records that a server found a result missing.
+    void mark_results_lost() { results_lost_ = true; }
+
     /// Releases all results and stops.
     void finish();
 
@@ -79,6 +86,7 @@
     std::uint32_t reroutes_ = 0; ///< unsent items moved to another server
     milliseconds time_{0};
     bool stopped_ = false;
+    bool results_lost_ = false;
 };
 
 } // namespace mangolink
--- a/src/connection/standby_attempt.hpp
+++ b/src/connection/standby_attempt.hpp
@@ -53,10 +53,6 @@
     void hold(std::shared_ptr<request_stages> stages);
     void hold(std::shared_ptr<backend_exchange> exchange);
 
-    /// The results of the request's own stages no longer exist.
-    bool inputs_gone() const { return inputs_gone_; }
-    void set_inputs_gone() { inputs_gone_ = true; }
-
     /// Returns the stages of the attempt; null if it uses those of the request.
     const std::shared_ptr<request_stages>& stages() const { return stages_; }
 
@@ -74,7 +70,6 @@
     bool stopped_ = false;
     bool last_try_ = false;
     bool running_ = false;
-    bool inputs_gone_ = false;
 };
 
 } // namespace mangolink
--- a/tests/platform/stages_test.cpp
+++ b/tests/platform/stages_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(items_of_many_requests_share_calls);
     CPPUNIT_TEST(failed_items_are_retried);
     CPPUNIT_TEST(a_full_server_is_queried_for_memory);
+    CPPUNIT_TEST(a_request_cut_in_its_first_event_keeps_its_inputs);
     CPPUNIT_TEST(a_resumed_stream_is_not_cut_behind_full_batches);
     CPPUNIT_TEST(a_process_that_dies_is_replaced);
     CPPUNIT_TEST(a_paused_process_is_replaced);
@@ -195,6 +196,84 @@
                 });
     }
 
+    /// Guards against a request that is sent to the next engine without the
+    /// results of its stages, as the first bytes of an event had come.
+    void a_request_cut_in_its_first_event_keeps_its_inputs()
+    {
+        test_cluster cluster;
+        auto& one = prepare(cluster);
+        auto& route = cluster.configuration()["routes"][0];
+        route["streamResume"] = true;
+        route["targetGapMs"] = 300;
+        cluster.publish();
+        auto& two = cluster.add_backend("engine", "engine-2");
+        two.set_stream(2, milliseconds(1));
+        auto& first =
+            cluster.add_stage_server("encode", "encode-1", milliseconds(20));
+        auto& second =
+            cluster.add_stage_server("rerank", "rerank-1", milliseconds(20));
+        auto& gateway = cluster.start_gateway();
+        const std::pair<const char*, backend_fault> ends[] = {
+            {"closed", backend_fault::event_closed},
+            {"reset", backend_fault::event_reset},
+            {"regular end of the body", backend_fault::event_ended},
+            {"silent", backend_fault::event_silent}};
+        for (const auto& [name, fault] : ends)
+        {
+            section(name,
+                    [&, fault = fault]
+                    {
+                        const std::string id =
+                            "r" + std::to_string(static_cast<int>(fault));
+                        one.add_faults({fault});
+                        two.add_faults({fault});
+                        std::thread after_first_send(
+                            [&]
+                            {
+                                bench::wait_until(
+                                    [&] {
+                                        return one.run_count(id) +
+                                                   two.run_count(id) >
+                                               0;
+                                    });
+                                one.clear_faults();
+                                two.clear_faults();
+                            });
+                        test_caller caller(gateway.callers());
+                        const auto answer =
+                            caller.send_request(staged(cluster, id, "2,3"));
+                        after_first_send.join();
+                        CPPUNIT_ASSERT(answer);
+                        CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+                        std::vector<std::size_t> inputs;
+                        for (const auto* engine : {&one, &two})
+                        {
+                            for (const auto& request : engine->received())
+                            {
+                                if (request.id == id)
+                                {
+                                    inputs.push_back(input_count(request));
+                                }
+                            }
+                        }
+                        CPPUNIT_ASSERT(inputs ==
+                                       std::vector<std::size_t>(2, 3));
+                    });
+        }
+        section("no item was executed twice, and no result stays stored",
+                [&]
+                {
+                    CPPUNIT_ASSERT_EQUAL(4 * std::size_t(2),
+                                         first.received().size());
+                    CPPUNIT_ASSERT(bench::wait_until(
+                        [&] {
+                            return first.stored_results() +
+                                       second.stored_results() ==
+                                   0;
+                        }));
+                });
+    }
+
     void a_resumed_stream_is_not_cut_behind_full_batches()
     {
         test_cluster cluster;
@@ -275,6 +354,16 @@
         return engine;
     }
 
+    static std::size_t input_count(const received_request& request)
+    {
+        const auto inputs = request.headers.find("x-input-count");
+        return inputs == request.headers.end()
+                   ? 0
+                   : 1 + static_cast<std::size_t>(
+                             std::count(inputs->second.begin(),
+                                        inputs->second.end(), ','));
+    }
+
     static text_request staged(test_cluster& cluster, const std::string& id,
                                const std::string& items)
     {
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -354,6 +354,11 @@
         complete.parts.resize(60, {encode_chunk("i"), milliseconds(100)});
         complete.end = answer_end::unresponsive;
         break;
+    case backend_fault::event_closed:
+    case backend_fault::event_reset:
+    case backend_fault::event_ended:
+    case backend_fault::event_silent:
+        return torn_event(id, fault);
     default:
         make_endless(complete, fault, stream_head(id), unframed);
         break;
@@ -361,6 +366,33 @@
     return complete;
 }
 
+scripted_answer backend_standin::torn_event(const std::string& request,
+                                            backend_fault fault) const
+{
+    std::string event = event_text(1);
+    event.pop_back();
+    scripted_answer script;
+    script.parts.push_back({stream_head(request), {}});
+    script.parts.push_back({stream_bytes(event), {}});
+    script.parts.push_back({"", milliseconds(100)});
+    switch (fault)
+    {
+    case backend_fault::event_reset:
+        script.end = answer_end::reset;
+        break;
+    case backend_fault::event_ended:
+        script.parts.back().bytes = "0\r\n\r\n";
+        break;
+    case backend_fault::event_silent:
+        script.end = answer_end::unresponsive;
+        break;
+    default:
+        script.end = answer_end::closed;
+        break;
+    }
+    return script;
+}
+
 scripted_answer backend_standin::stream(const text_request& request)
 {
     const std::string id(request["X-Attempt-Id"]);
--- a/tests/standins/backend_standin.hpp
+++ b/tests/standins/backend_standin.hpp
@@ -47,6 +47,10 @@
     unframed_reset,   ///< no Content-Length, ended by a reset
     hang,             ///< runs and never answers
     trickling_event,  ///< a first event, then one byte of the next at a time
+    event_closed,     ///< a stream that closes just before its first event ends
+    event_reset,      ///< the same, by a reset
+    event_ended,      ///< the same, by the regular end of the body
+    event_silent,     ///< the same, but silent from then on
     endless_head,     ///< header lines until the caller closes
     endless_body,     ///< an answer without length, until the caller closes
     endless_event,    ///< a stream without the end of an event
@@ -142,6 +146,10 @@
     /// Adds more bytes than a caller may accept.
     static void add_endless(scripted_answer& answer, const std::string& filler);
     std::string stream_head(const std::string& request) const;
+
+    /// Returns a stream that ends inside its first event.
+    scripted_answer torn_event(const std::string& request,
+                               backend_fault fault) const;
     std::string stream_bytes(const std::string& text) const;
     std::vector<std::string> answer_headers(const std::string& request) const;
     backend_fault next_fault();
