A standby attempt that ends inside its first event is no answer

Callers saw: a stream cut off, whose server had only been silent for two seconds and went on, if the server of the standby attempt ended the body of its answer in the regular way inside the first event.

Cause: read_first_event() stopped at the end of the body and left the attempt as one whose stream can be forwarded. The first attempt was given up for it, and nothing could be forwarded.

Evidence: a_stream_is_not_cut_when_the_standby_ends_in_its_first_event failed before (no complete answer) and passes.

Why this works: the test whether a finished stream is whole, which forwarding has, decides there too. An empty stream with framing remains an answer.

--- a/src/connection/forward_attempt.cpp
+++ b/src/connection/forward_attempt.cpp
@@ -201,6 +201,11 @@
             break;
         }
     }
+    if (streams_ && !has_output_ && !is_whole())
+    {
+        streams_ = false;
+        end_ = attempt_outcome::broken;
+    }
 }
 
 asio::awaitable<void>
@@ -265,11 +270,13 @@
         silence_ = std::max(silence_, std::chrono::duration_cast<milliseconds>(
                                           boot_clock::now() - last_event));
     }
-    // A stream that ends inside an event is incomplete; so is one without any
-    // whose end only the connection shows.
-    const bool whole =
-        pending_.empty() && (has_output_ || !exchange_->ends_with_connection());
-    end_ = whole ? attempt_outcome::answered : attempt_outcome::broken;
+    end_ = is_whole() ? attempt_outcome::answered : attempt_outcome::broken;
+}
+
+bool forward_attempt::is_whole() const
+{
+    return pending_.empty() &&
+           (has_output_ || !exchange_->ends_with_connection());
 }
 
 bool forward_attempt::is_stream() const
--- a/src/connection/forward_attempt.hpp
+++ b/src/connection/forward_attempt.hpp
@@ -100,6 +100,11 @@
     asio::awaitable<void> read_complete_body(bool answer_begun);
     bool is_stream() const;
 
+    /// Returns whether a stream whose body has ended is complete: not if it
+    /// ended inside an event, or without any if only the connection shows its
+    /// end.
+    bool is_whole() const;
+
     asio::io_context& io_;
     std::shared_ptr<const backend_server> server_;
     std::shared_ptr<backend_exchange> exchange_;
--- a/tests/platform/silence_test.cpp
+++ b/tests/platform/silence_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(a_standby_without_stage_results_makes_them_again);
     CPPUNIT_TEST(a_silent_standby_is_replaced);
     CPPUNIT_TEST(a_stream_is_not_cut_when_the_standby_breaks_after_its_head);
+    CPPUNIT_TEST(a_stream_is_not_cut_when_the_standby_ends_in_its_first_event);
     CPPUNIT_TEST(a_request_is_not_refused_by_its_only_servers_silence);
     CPPUNIT_TEST(a_request_is_refused_at_once_by_a_closed_port);
     CPPUNIT_TEST(a_late_refusal_does_not_end_the_standby);
@@ -328,6 +329,31 @@
         assert_events(answer, 4);
     }
 
+    /// Guards against a stream that is given up for a standby attempt whose
+    /// body has ended regularly without a complete event.
+    void a_stream_is_not_cut_when_the_standby_ends_in_its_first_event()
+    {
+        test_cluster cluster;
+        auto& engine = cluster.add_backend("engine", "engine-1");
+        add_streaming_route(cluster);
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        engine.set_stream(4, milliseconds(1));
+        engine.silence_next_stream(2, silence);
+        std::thread during_silence(
+            [&]
+            {
+                bench::wait_until([&] { return engine.run_count("r") > 0; });
+                cluster.add_backend("engine", "engine-2")
+                    .add_faults({backend_fault::event_ended});
+            });
+        test_caller caller(gateway.callers());
+        const auto answer =
+            caller.send_request(cluster.request("/talk/x", "r"));
+        during_silence.join();
+        assert_events(answer, 4);
+    }
+
     void a_request_is_not_refused_by_its_only_servers_silence()
     {
         test_cluster cluster;
