Ask for keys where the list of customers is empty or can't be read

Cause: a configuration that contains no customers asks for no keys. An empty list, a missing one and one that can't be read were read into the same empty vector, and "no customer" stood for "no keys are asked for".

Evidence: the_last_customer_that_leaves_takes_its_keys_along failed before at its first section (the withdrawn key was not refused).

Why this works: the list is optional, and only its absence means that no key is needed. A list that can't be read holds no valid key, as the regions of a route that can't be read allow none.

--- a/src/connection/request_check.cpp
+++ b/src/connection/request_check.cpp
@@ -129,7 +129,7 @@
 
 std::optional<refusal> request_check::check_customer()
 {
-    if (result_.route->anonymous || !result_.configuration->has_customers())
+    if (result_.route->anonymous || !result_.configuration->requires_api_keys())
     {
         return std::nullopt;
     }
--- a/src/version/gateway_configuration.cpp
+++ b/src/version/gateway_configuration.cpp
@@ -30,7 +30,7 @@
     {
         routes_[route_key(route.host, route.prefix)] = &route;
     }
-    for (const auto& customer : data_.customers)
+    for (const auto& customer : customers())
     {
         customer_names_[customer.name] = &customer;
         for (const auto& key : customer.api_keys)
@@ -44,6 +44,12 @@
     }
 }
 
+const std::vector<gateway_customer>& gateway_configuration::customers() const
+{
+    static const std::vector<gateway_customer> none;
+    return data_.customers ? *data_.customers : none;
+}
+
 const gateway_route*
 gateway_configuration::find_route(std::string_view host,
                                   std::string_view path) const
--- a/src/version/gateway_configuration.hpp
+++ b/src/version/gateway_configuration.hpp
@@ -39,7 +39,8 @@
     std::uint64_t version = 0;
     std::vector<gateway_route> routes;
     std::vector<gateway_service> services;
-    std::vector<gateway_customer> customers;
+    /// Nothing: requests need no API key. Empty: no key is valid.
+    std::optional<std::vector<gateway_customer>> customers;
     caller_limits limits;
 };
 
@@ -56,8 +57,9 @@
     std::uint64_t version() const { return data_.version; }
     const caller_limits& limits() const { return data_.limits; }
 
-    /// Returns whether requests must carry the API key of a customer.
-    bool has_customers() const { return !data_.customers.empty(); }
+    /// Returns whether requests must carry the API key of a customer, also if
+    /// there is none.
+    bool requires_api_keys() const { return data_.customers.has_value(); }
 
     /// Returns the route with the longest prefix of the path, or null. The host
     /// must be in lower case and without a port.
@@ -74,10 +76,7 @@
     const gateway_service* find_service(std::string_view name) const;
 
     const std::vector<gateway_route>& routes() const { return data_.routes; }
-    const std::vector<gateway_customer>& customers() const
-    {
-        return data_.customers;
-    }
+    const std::vector<gateway_customer>& customers() const;
     const std::vector<gateway_service>& services() const
     {
         return data_.services;
--- a/tests/platform/platform_state_test.cpp
+++ b/tests/platform/platform_state_test.cpp
@@ -12,6 +12,7 @@
 {
     CPPUNIT_TEST_SUITE(platform_state_test);
     CPPUNIT_TEST(revoked_keys_stop_working);
+    CPPUNIT_TEST(the_last_customer_that_leaves_takes_its_keys_along);
     CPPUNIT_TEST(unconfirmed_keys_are_refused);
     CPPUNIT_TEST(compacted_history_is_read_again);
     CPPUNIT_TEST(older_configurations_are_ignored);
@@ -37,6 +38,78 @@
         CPPUNIT_ASSERT_EQUAL(received, server.received().size());
     }
 
+    /// Guards against a configuration without a customer that is left, or with
+    /// a list that can't be read, being taken for one that asks for no keys.
+    void the_last_customer_that_leaves_takes_its_keys_along()
+    {
+        test_cluster cluster;
+        prepare(cluster);
+        cluster.start_gateway();
+        cluster.start_gateway();
+        const auto customers = cluster.configuration()["tenants"];
+        const auto status_of = [&](std::size_t gateway, const std::string& key)
+        {
+            test_caller caller(cluster.gateway(gateway).callers());
+            auto request = cluster.request("/orders/x", "r");
+            request.set("X-Key", key);
+            const auto answer = caller.send_request(request);
+            return answer ? answer->result_int() : 0;
+        };
+        for (const nlohmann::json& value :
+             {nlohmann::json::array(), nlohmann::json(nullptr),
+              nlohmann::json::object(), nlohmann::json("casters")})
+        {
+            section("customers: " + value.dump(),
+                    [&]
+                    {
+                        cluster.configuration()["tenants"] = value;
+                        cluster.publish();
+                        for (const std::size_t gateway : {0U, 1U})
+                        {
+                            CPPUNIT_ASSERT(bench::wait_until(
+                                [&] {
+                                    return status_of(gateway, test_key) == 401;
+                                }));
+                            CPPUNIT_ASSERT_EQUAL(401U,
+                                                 status_of(gateway, "no key"));
+                        }
+                    });
+            section("a gateway that starts with it",
+                    [&]
+                    {
+                        auto& process = cluster.gateway(1).process();
+                        process.signal(SIGKILL);
+                        process.wait(milliseconds(5000));
+                        cluster.gateway(1).start();
+                        CPPUNIT_ASSERT(bench::wait_until(
+                            [&] { return cluster.gateway(1).ready(); }));
+                        CPPUNIT_ASSERT_EQUAL(401U, status_of(1, test_key));
+                        CPPUNIT_ASSERT_EQUAL(401U, status_of(1, "no key"));
+                    });
+            section("a customer that is back is served",
+                    [&]
+                    {
+                        cluster.configuration()["tenants"] = customers;
+                        cluster.publish();
+                        for (const std::size_t gateway : {0U, 1U})
+                        {
+                            CPPUNIT_ASSERT(bench::wait_until(
+                                [&] {
+                                    return status_of(gateway, test_key) == 200;
+                                }));
+                        }
+                    });
+        }
+        section("a configuration that contains no customers asks for no keys",
+                [&]
+                {
+                    cluster.configuration().erase("tenants");
+                    cluster.publish();
+                    CPPUNIT_ASSERT(bench::wait_until(
+                        [&] { return status_of(0, "no key") == 200; }));
+                });
+    }
+
     void unconfirmed_keys_are_refused()
     {
         test_cluster cluster;
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(an_id_stands_for_itself_in_headers_and_lists);
     CPPUNIT_TEST(a_host_is_no_other_text);
     CPPUNIT_TEST(odd_numbers_in_a_configuration_are_bounded);
+    CPPUNIT_TEST(only_a_configuration_without_customers_asks_for_no_keys);
     CPPUNIT_TEST(events_without_a_number_are_read);
     CPPUNIT_TEST(prompts_with_a_shared_prefix_have_the_same_affinity);
     CPPUNIT_TEST(stage_answers_are_read);
@@ -258,6 +259,26 @@
             std::invalid_argument);
     }
 
+    void only_a_configuration_without_customers_asks_for_no_keys()
+    {
+        const auto requires_keys = [](const std::string& fields)
+        {
+            const gateway_configuration configuration(
+                platform::read_configuration(R"({"version":1)" + fields + "}"));
+            return configuration.requires_api_keys();
+        };
+        CPPUNIT_ASSERT(!requires_keys(""));
+        for (const char* value : {"[]", "null", "{}", "\"t\"", "0",
+                                  R"([{"name":"t","apiKeys":[]}])"})
+        {
+            section(value,
+                    [&] {
+                        CPPUNIT_ASSERT(requires_keys(
+                            std::string(R"(,"tenants":)") + value));
+                    });
+        }
+    }
+
     void events_without_a_number_are_read()
     {
         for (const char* event : {"id:\ndata: x\n\n", "id: \ndata: x\n\n",
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -47,8 +47,8 @@
     {
         gateway_configuration_data data;
         data.routes = {route("a", "/x/"), route("a", "/x/y/"), route("b", "/")};
-        data.customers = {{"one", {"k1", "k2"}, {}, {}},
-                          {"two", {"k3"}, {}, {}}};
+        data.customers = std::vector<gateway_customer>{
+            {"one", {"k1", "k2"}, {}, {}}, {"two", {"k3"}, {}, {}}};
         const gateway_configuration configuration(data);
         const auto found = [&](const char* host, const char* path)
         {
