An odd customer does not keep withdrawn keys valid

Callers saw: a withdrawn key went on working if the version that withdrew it also had a customer without a name, or a key that is no text.

Cause: one customer that can't be read made the whole version unreadable, and the last version held.

Why this works: each customer and key is read by itself. What can't be read names nobody and is reported in the log; the others hold.

--- a/tests/platform/platform_state_test.cpp
+++ b/tests/platform/platform_state_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(platform_state_test);
     CPPUNIT_TEST(revoked_keys_stop_working);
     CPPUNIT_TEST(the_last_customer_that_leaves_takes_its_keys_along);
+    CPPUNIT_TEST(an_odd_customer_keeps_no_withdrawn_key_valid);
     CPPUNIT_TEST(unconfirmed_keys_are_refused);
     CPPUNIT_TEST(compacted_history_is_read_again);
     CPPUNIT_TEST(older_configurations_are_ignored);
@@ -48,13 +49,7 @@
         cluster.start_gateway();
         const auto customers = cluster.configuration()["tenants"];
         const auto status_of = [&](std::size_t gateway, const std::string& key)
-        {
-            test_caller caller(cluster.gateway(gateway).callers());
-            auto request = cluster.request("/orders/x", "r");
-            request.set("X-Key", key);
-            const auto answer = caller.send_request(request);
-            return answer ? answer->result_int() : 0;
-        };
+        { return key_status(cluster.gateway(gateway), key); };
         for (const nlohmann::json& value :
              {nlohmann::json::array(), nlohmann::json(nullptr),
               nlohmann::json::object(), nlohmann::json("casters")})
@@ -110,6 +105,28 @@
                 });
     }
 
+    /// Guards against a withdrawn key that stays valid, as its version is
+    /// refused for the sake of another customer.
+    void an_odd_customer_keeps_no_withdrawn_key_valid()
+    {
+        test_cluster cluster;
+        prepare(cluster);
+        auto& gateway = cluster.start_gateway();
+        auto& customers = cluster.configuration()["tenants"];
+        customers[0]["apiKeys"] = {"another", 7};
+        customers.push_back({{"apiKeys", {"unnamed"}}});
+        cluster.publish();
+        CPPUNIT_ASSERT(bench::wait_until(
+            [&] { return key_status(gateway, test_key) == 401; }));
+        CPPUNIT_ASSERT_EQUAL(200U, key_status(gateway, "another"));
+        CPPUNIT_ASSERT_EQUAL(401U, key_status(gateway, "unnamed"));
+        CPPUNIT_ASSERT(bench::wait_until(
+            [&] {
+                return gateway.log_text().find("name is missing") !=
+                       std::string::npos;
+            }));
+    }
+
     void unconfirmed_keys_are_refused()
     {
         test_cluster cluster;
@@ -324,6 +341,17 @@
     }
 
 private:
+    /// Sends a request with a key; returns the status of its answer.
+    static unsigned key_status(const gateway_process& gateway,
+                               const std::string& key)
+    {
+        test_caller caller(gateway.callers());
+        auto request = test_cluster::request("/orders/x", "r");
+        request.set("X-Key", key);
+        const auto answer = caller.send_request(request);
+        return answer ? answer->result_int() : 0;
+    }
+
     static backend_standin& prepare(test_cluster& cluster)
     {
         auto& server = cluster.add_backend("desk", "desk-1");
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(a_host_is_no_other_text);
     CPPUNIT_TEST(odd_numbers_in_a_configuration_are_bounded);
     CPPUNIT_TEST(only_a_configuration_without_customers_asks_for_no_keys);
+    CPPUNIT_TEST(an_odd_customer_or_key_leaves_the_others_readable);
     CPPUNIT_TEST(events_without_a_number_are_read);
     CPPUNIT_TEST(prompts_with_a_shared_prefix_have_the_same_affinity);
     CPPUNIT_TEST(stage_answers_are_read);
@@ -243,7 +244,7 @@
     {
         const auto read = [](const std::string& route)
         {
-            return platform::read_configuration(
+            return read_configuration(
                 R"({"version":1,"routes":[{"hostname":"h","prefix":"/",)"
                 R"("service":"desk",)" +
                 route + "}]}");
@@ -264,7 +265,7 @@
         const auto requires_keys = [](const std::string& fields)
         {
             const gateway_configuration configuration(
-                platform::read_configuration(R"({"version":1)" + fields + "}"));
+                read_configuration(R"({"version":1)" + fields + "}"));
             return configuration.requires_api_keys();
         };
         CPPUNIT_ASSERT(!requires_keys(""));
@@ -279,6 +280,32 @@
         }
     }
 
+    /// Guards against withdrawn keys that stay valid as their version is
+    /// refused.
+    void an_odd_customer_or_key_leaves_the_others_readable()
+    {
+        std::vector<std::string> omissions;
+        const gateway_configuration configuration(platform::read_configuration(
+            R"({"version":1,"tenants":[{"name":"a","apiKeys":[7,"k"]},)"
+            R"({"apiKeys":["unnamed"]},{"name":3,"apiKeys":["numbered"]},8,)"
+            R"({"name":"b","apiKeys":"text"},{"name":"c","apiKeys":["l"]}]})",
+            [&](std::string_view reason) { omissions.emplace_back(reason); }));
+        for (const char* key : {"", "unnamed", "numbered", "text"})
+        {
+            section(std::string("key '") + key + "' is nobody's",
+                    [&] {
+                        CPPUNIT_ASSERT(configuration.find_customer(key) ==
+                                       nullptr);
+                    });
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("a"),
+                             configuration.find_customer("k")->name);
+        CPPUNIT_ASSERT_EQUAL(std::string("c"),
+                             configuration.find_customer("l")->name);
+        section("what is left out is reported", [&]
+                { CPPUNIT_ASSERT_EQUAL(std::size_t(5), omissions.size()); });
+    }
+
     void events_without_a_number_are_read()
     {
         for (const char* event : {"id:\ndata: x\n\n", "id: \ndata: x\n\n",
@@ -464,7 +491,7 @@
         }
         try
         {
-            platform::read_configuration(text);
+            read_configuration(text);
             any = true;
         }
         catch (const std::invalid_argument&)
@@ -474,6 +501,12 @@
         return any;
     }
 
+    static gateway_configuration_data
+    read_configuration(const std::string& text)
+    {
+        return platform::read_configuration(text, [](std::string_view) {});
+    }
+
     platform::platform_protocol protocol_;
 };
 
