An empty key is nobody's

Callers saw: where a customer had an empty key, requests with an empty X-Key or none ran as that customer's.

Cause: a request without the header has an empty key, which was looked up like any other.

--- a/tests/platform/platform_state_test.cpp
+++ b/tests/platform/platform_state_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(revoked_keys_stop_working);
     CPPUNIT_TEST(the_last_customer_that_leaves_takes_its_keys_along);
     CPPUNIT_TEST(an_odd_customer_keeps_no_withdrawn_key_valid);
+    CPPUNIT_TEST(an_empty_key_is_nobodys);
     CPPUNIT_TEST(unconfirmed_keys_are_refused);
     CPPUNIT_TEST(compacted_history_is_read_again);
     CPPUNIT_TEST(older_configurations_are_ignored);
@@ -127,6 +128,18 @@
             }));
     }
 
+    /// Guards against requests without a key that run as a customer's.
+    void an_empty_key_is_nobodys()
+    {
+        test_cluster cluster;
+        prepare(cluster);
+        cluster.configuration()["tenants"][0]["apiKeys"].push_back("");
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        CPPUNIT_ASSERT_EQUAL(200U, key_status(gateway, test_key));
+        CPPUNIT_ASSERT_EQUAL(401U, key_status(gateway, ""));
+    }
+
     void unconfirmed_keys_are_refused()
     {
         test_cluster cluster;
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -280,13 +280,13 @@
         }
     }
 
-    /// Guards against withdrawn keys that stay valid as their version is
-    /// refused.
+    /// Guards against requests without a key that run as a customer's, and
+    /// against withdrawn keys that stay valid as their version is refused.
     void an_odd_customer_or_key_leaves_the_others_readable()
     {
         std::vector<std::string> omissions;
         const gateway_configuration configuration(platform::read_configuration(
-            R"({"version":1,"tenants":[{"name":"a","apiKeys":[7,"k"]},)"
+            R"({"version":1,"tenants":[{"name":"a","apiKeys":["",7,"k"]},)"
             R"({"apiKeys":["unnamed"]},{"name":3,"apiKeys":["numbered"]},8,)"
             R"({"name":"b","apiKeys":"text"},{"name":"c","apiKeys":["l"]}]})",
             [&](std::string_view reason) { omissions.emplace_back(reason); }));
@@ -303,7 +303,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("c"),
                              configuration.find_customer("l")->name);
         section("what is left out is reported", [&]
-                { CPPUNIT_ASSERT_EQUAL(std::size_t(5), omissions.size()); });
+                { CPPUNIT_ASSERT_EQUAL(std::size_t(6), omissions.size()); });
     }
 
     void events_without_a_number_are_read()
