--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(a_host_is_no_other_text);
     CPPUNIT_TEST(odd_numbers_in_a_configuration_are_bounded);
     CPPUNIT_TEST(only_a_configuration_without_customers_asks_for_no_keys);
+    CPPUNIT_TEST(a_route_whose_lists_cannot_be_read_is_refused);
     CPPUNIT_TEST(an_odd_customer_or_key_leaves_the_others_readable);
     CPPUNIT_TEST(events_without_a_number_are_read);
     CPPUNIT_TEST(prompts_with_a_shared_prefix_have_the_same_affinity);
@@ -280,6 +281,37 @@
         }
     }
 
+    /// Guards against requests that are sent without their stages, or to the
+    /// default service, as the list of them can't be read.
+    void a_route_whose_lists_cannot_be_read_is_refused()
+    {
+        const std::string route =
+            R"({"hostname":"h","prefix":"/","service":"s")";
+        const std::pair<std::string, std::string> lists[] = {
+            {R"({"version":1,"routes":)", "}"},
+            {R"({"version":1,"services":)", "}"},
+            {R"({"version":1,"routes":[)" + route + R"(,"phases":)", "}]}"},
+            {R"({"version":1,"routes":[)" + route + R"(,"trafficSplit":)",
+             "}]}"},
+            {R"({"version":1,"routes":[)" + route +
+                 R"(,"phases":[{"service":"p","after":)",
+             "}]}]}"}};
+        for (const auto& [before, behind] : lists)
+        {
+            section(before,
+                    [&, before = before, behind = behind]
+                    {
+                        read_configuration(before + "[]" + behind);
+                        for (const char* value : {"null", "{}", "\"s\"", "1"})
+                        {
+                            CPPUNIT_ASSERT_THROW(
+                                read_configuration(before + value + behind),
+                                std::invalid_argument);
+                        }
+                    });
+        }
+    }
+
     /// Guards against requests without a key that run as a customer's, and
     /// against withdrawn keys that stay valid as their version is refused.
     void an_odd_customer_or_key_leaves_the_others_readable()
