Bound the number of crashes that a part is asked for

Where answers last far longer than servers live, the probability of a crash rounds to one, and the number of crashes that is unlikely to a value that no integer holds. The conversion is undefined; on x86-64 it gave a number that is never reached.

The probability is bounded below one now, so that the number is finite on every machine.

--- a/src/request/crash_statistics.cpp
+++ b/src/request/crash_statistics.cpp
@@ -32,12 +32,16 @@
 constexpr std::size_t max_recent = 256;
 constexpr milliseconds recent_time{10'000};
 
-/// Returns the number of outcomes in a row, each with this probability, that is
+/// Keeps the number of crashes finite where nearly all requests meet one.
+constexpr double max_crash_probability = 0.999;
+
+/// Returns the number of crashes in a row, each with this probability, that is
 /// unlikely.
-std::size_t unlikely_row(double rate)
+std::size_t unlikely_row(double probability)
 {
     return static_cast<std::size_t>(
-        std::ceil(std::log(max_false_probability) / std::log(rate)));
+        std::ceil(std::log(max_false_probability) /
+                  std::log(std::min(probability, max_crash_probability))));
 }
 
 } // namespace
@@ -143,8 +147,8 @@
     const double cuts =
         (all.crashes + all.cuts) * (1 - share_of(part, own_crashes, now)) +
         assumed_crashes;
-    // A long answer meets more ends of servers, and those that are cut last
-    // twice as long on average.
+    // A long answer meets more ends of servers. On average a server's end cuts
+    // an answer halfway.
     fractional_seconds answer_time(
         all.answer_seconds /
         (all.completions + all.crashes + all.cuts + assumed_crashes));
--- a/tests/unit/prompt_quarantine_test.cpp
+++ b/tests/unit/prompt_quarantine_test.cpp
@@ -394,6 +394,7 @@
     CPPUNIT_TEST(ends_amid_answers_without_a_part_to_blame_refuse_nobody);
     CPPUNIT_TEST(output_clears_a_part);
     CPPUNIT_TEST(only_a_complete_answer_clears_of_crashes_amid_answers);
+    CPPUNIT_TEST(answers_that_outlast_their_servers_blame_nothing);
     CPPUNIT_TEST(requests_without_a_prompt_are_no_comparison);
     CPPUNIT_TEST(requests_that_meet_a_server_after_its_end_blame_nothing);
     CPPUNIT_TEST(one_request_blames_no_shared_part);
@@ -649,6 +650,22 @@
                 });
     }
 
+    void answers_that_outlast_their_servers_blame_nothing()
+    {
+        prompt_quarantine quarantine({});
+        time_point now{milliseconds(1000)};
+        for (std::uint64_t server = 1; server <= 12; ++server)
+        {
+            now += milliseconds(500);
+            quarantine.record_completion(prompt_of(1, 2), answer_time, now);
+            const prompt_crash crash{server, own_parts + server, now,
+                                     crash_phase::amid_answer,
+                                     std::chrono::hours(1)};
+            quarantine.record_crash(prompt_of(7, crash.request), crash);
+        }
+        CPPUNIT_ASSERT(!quarantine.find(prompt_of(7, 1)));
+    }
+
     void requests_without_a_prompt_are_no_comparison()
     {
         prompt_quarantine quarantine({});
