--- a/tests/platform/silence_test.cpp
+++ b/tests/platform/silence_test.cpp
@@ -307,51 +307,21 @@
 
     void a_stream_is_not_cut_when_the_standby_breaks_after_its_head()
     {
-        test_cluster cluster;
-        auto& engine = cluster.add_backend("engine", "engine-1");
-        add_streaming_route(cluster);
-        cluster.publish();
-        auto& gateway = cluster.start_gateway();
-        engine.set_stream(4, milliseconds(1));
-        engine.silence_next_stream(2, silence);
-        std::thread during_silence(
-            [&]
+        expect_whole_stream_despite(
+            [](backend_standin& other)
             {
-                bench::wait_until([&] { return engine.run_count("r") > 0; });
-                auto& other = cluster.add_backend("engine", "engine-2");
                 other.set_stream(4, milliseconds(1));
                 other.break_next_stream_after_head();
             });
-        test_caller caller(gateway.callers());
-        const auto answer =
-            caller.send_request(cluster.request("/talk/x", "r"));
-        during_silence.join();
-        assert_events(answer, 4);
     }
 
     /// Guards against a stream that is given up for a standby attempt whose
     /// body has ended regularly without a complete event.
     void a_stream_is_not_cut_when_the_standby_ends_in_its_first_event()
     {
-        test_cluster cluster;
-        auto& engine = cluster.add_backend("engine", "engine-1");
-        add_streaming_route(cluster);
-        cluster.publish();
-        auto& gateway = cluster.start_gateway();
-        engine.set_stream(4, milliseconds(1));
-        engine.silence_next_stream(2, silence);
-        std::thread during_silence(
-            [&]
-            {
-                bench::wait_until([&] { return engine.run_count("r") > 0; });
-                cluster.add_backend("engine", "engine-2")
-                    .add_faults({backend_fault::event_ended});
-            });
-        test_caller caller(gateway.callers());
-        const auto answer =
-            caller.send_request(cluster.request("/talk/x", "r"));
-        during_silence.join();
-        assert_events(answer, 4);
+        expect_whole_stream_despite(
+            [](backend_standin& other)
+            { other.add_faults({backend_fault::event_ended}); });
     }
 
     void a_request_is_not_refused_by_its_only_servers_silence()
@@ -485,6 +455,31 @@
         return route;
     }
 
+    /// Expects that a stream goes on after a silence during which a standby
+    /// server is added, which `prepare` makes fail.
+    template <class Prepare>
+    static void expect_whole_stream_despite(Prepare prepare)
+    {
+        test_cluster cluster;
+        auto& engine = cluster.add_backend("engine", "engine-1");
+        add_streaming_route(cluster);
+        cluster.publish();
+        auto& gateway = cluster.start_gateway();
+        engine.set_stream(4, milliseconds(1));
+        engine.silence_next_stream(2, silence);
+        std::thread during_silence(
+            [&]
+            {
+                bench::wait_until([&] { return engine.run_count("r") > 0; });
+                prepare(cluster.add_backend("engine", "engine-2"));
+            });
+        test_caller caller(gateway.callers());
+        const auto answer =
+            caller.send_request(cluster.request("/talk/x", "r"));
+        during_silence.join();
+        assert_events(answer, 4);
+    }
+
     static std::size_t runs(const backend_standin& one,
                             const backend_standin& two)
     {
