--- a/review/standins-3/deployment.cpp
+++ b/review/standins-3/deployment.cpp
@@ -108,12 +108,32 @@
     auto talk = route("/talk/", "streaming", "smelte", 6000, 920, 2);
     talk["streamResume"] = true;
     talk["targetGapMs"] = 400;
+    auto draft = talk;
+    draft["name"] = "r/draft/";
+    draft["prefix"] = "/draft/";
+    draft["phases"] = {
+        {{"service", "mould"}, {"after", json::array()}, {"length", 8000}}};
     return {{"version", version},
             {"routes",
-             {talk, route("/enter/", "non_idempotent", "order", 1500, 150, 1),
+             {talk, draft,
+              route("/enter/", "non_idempotent", "order", 1500, 150, 1),
               route("/look/", "idempotent", "order", 1500, 150, 1)}},
             {"services",
-             {{{"name", "smelte"},
+             {{{"name", "mould"},
+               {"healthPath", "/healthz"},
+               {"maxConnections", 630},
+               {"protocol", "h1"},
+               {"tls", false},
+               {"segments",
+                {{"slots", 1},
+                 {"queueDepth", 2},
+                 {"batchSize", 12},
+                 {"callTimeMs", 150.0},
+                 {"itemTimeMs", 11.0},
+                 {"headroomMb", 61.0},
+                 {"handleTtlS", 4.0},
+                 {"linkMbps", 10000}}}},
+              {{"name", "smelte"},
                {"healthPath", "/healthz"},
                {"maxConnections", 630},
                {"protocol", "h1"},
@@ -144,6 +164,22 @@
     store.put("servers/" + one.id(), entry.dump());
 }
 
+void register_stage_engine(mangolink::test::store_standin& store,
+                           const stage_engine& one, const std::string& service,
+                           const std::string& zone, unsigned sequence)
+{
+    const json entry{{"service", service},
+                     {"address", one.address()},
+                     {"zone", zone},
+                     {"version", "v1"},
+                     {"slots", 1},
+                     {"state", "ready"},
+                     {"sequence", sequence},
+                     {"coldRemainingMs", 0},
+                     {"born", 1}};
+    store.put("servers/" + one.id(), entry.dump());
+}
+
 std::string request_head(const std::string& method, const std::string& target,
                          const std::string& id, const std::string& key,
                          const std::string& more)
--- a/review/standins-3/deployment.hpp
+++ b/review/standins-3/deployment.hpp
@@ -2,6 +2,7 @@
 
 #include "engine.hpp"
 #include "lab/child_process.hpp"
+#include "stage_engine.hpp"
 #include "standins/store_standin.hpp"
 
 #include <nlohmann/json.hpp>
@@ -47,7 +48,8 @@
 std::string machine_address(unsigned number);
 
 /// Returns a configuration like that of hamarvik-stoperi: a resumable stream
-/// ("/talk/"), a non-idempotent request ("/enter/") and its status ("/look/").
+/// ("/talk/"), the same with a stage before it ("/draft/"), a non-idempotent
+/// request ("/enter/") and its status ("/look/").
 nlohmann::json small_configuration(unsigned version,
                                    const std::vector<std::string>& keys);
 
@@ -56,6 +58,11 @@
                      const std::string& service, const std::string& zone,
                      unsigned slots);
 
+/// The same for an engine of stages, with the number of the report.
+void register_stage_engine(mangolink::test::store_standin& store,
+                           const stage_engine& one, const std::string& service,
+                           const std::string& zone, unsigned sequence);
+
 /// Returns a request of a requester; `more` holds further header lines.
 std::string request_head(const std::string& method, const std::string& target,
                          const std::string& id, const std::string& key,
--- a/review/standins-3/engine.cpp
+++ b/review/standins-3/engine.cpp
@@ -130,6 +130,13 @@
                          "Content-Length: 0\r\n\r\n");
     }
     const auto work = plan_(request);
+    if (work.refusal != 0)
+    {
+        end(number, "refused with " + std::to_string(work.refusal));
+        return peer.send("HTTP/1.1 " + std::to_string(work.refusal) +
+                         " Refused\r\n" + echo +
+                         "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    }
     const std::string head = "HTTP/1.1 200 OK\r\n" + echo +
                              "X-Response-Seal: seal-of-" + id_ + "-" +
                              request.header("x-attempt-id") + "\r\n";
--- a/review/standins-3/engine.hpp
+++ b/review/standins-3/engine.hpp
@@ -38,6 +38,8 @@
     /// A second copy of a plain answer is sent late: at the point where the
     /// next answer on the connection is expected.
     bool repeats_late = false;
+    /// The engine refuses the request with this status, unrun; 0: it runs it.
+    unsigned refusal = 0;
 };
 
 /// Stand-in for an engine of the platform, as PROTOCOL.md describes it: echoes
