--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 to 15 into target/review-3, after the
+# Builds the stand-ins of the cases 11 to 13 into target/review-3, after the
 # build of the deploy file. Uses its libraries and the project's stand-ins.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -8,7 +8,8 @@
 flags="-std=c++20 -O1 -I. -Isrc -Itests -Ibench -Ireview/standins-3
   -isystem src/wire"
 common="review/standins-3/http_peer.cpp review/standins-3/engine.cpp
-  review/standins-3/stage_engine.cpp review/standins-3/deployment.cpp bench/lab/child_process.cpp
+  review/standins-3/stage_engine.cpp review/standins-3/deployment.cpp
+  bench/lab/child_process.cpp
   tests/standins/standin_server.cpp tests/standins/store_standin.cpp"
 objects=""
 jobs=""
