--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -1,4 +1,4 @@
-#include "deployment.hpp"
+#include "../standins-3/deployment.hpp"
 
 #include <functional>
 #include <thread>
@@ -28,7 +28,7 @@
 struct deployment final
 {
     stage_results results;
-    mangolink::test::store_standin store;
+    platform_store store;
     stage_engine cut{"i-mould1", results};
     stage_engine sound{"i-mould2", results};
     engine first{"i-smelte1",
--- a/review/13/case.cpp
+++ b/review/13/case.cpp
@@ -1,4 +1,4 @@
-#include "deployment.hpp"
+#include "../standins-3/deployment.hpp"
 
 #include <fstream>
 #include <sstream>
@@ -42,7 +42,7 @@
 
 verdict play(case_record& record)
 {
-    mangolink::test::store_standin store;
+    platform_store store;
     engine order("i-order1", [](const http_message&) { return engine_work(); });
     register_engine(store, order, "order", "vestland-a", 6);
     store.put("op/config", small_configuration(1, {first_key}).dump());
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -8,7 +8,8 @@
 flags="-std=c++20 -O1 -I. -Isrc -Itests -Ibench -Ireview/standins-3
   -isystem src/wire"
 common="review/standins-3/http_peer.cpp review/standins-3/engine.cpp
-  review/standins-3/stage_engine.cpp review/standins-3/deployment.cpp
+  review/standins-3/stage_engine.cpp review/standins-3/store_standin.cpp
+  review/standins-3/deployment.cpp
   bench/lab/child_process.cpp
   tests/standins/standin_server.cpp tests/standins/store_standin.cpp"
 objects=""
--- a/review/standins-3/deployment.cpp
+++ b/review/standins-3/deployment.cpp
@@ -153,7 +153,7 @@
              {{{"name", "foundry"}, {"apiKeys", keys}, {"priority", 1}}}}};
 }
 
-void register_engine(mangolink::test::store_standin& store, const engine& one,
+void register_engine(platform_store& store, const engine& one,
                      const std::string& service, const std::string& zone,
                      unsigned slots)
 {
@@ -164,9 +164,9 @@
     store.put("servers/" + one.id(), entry.dump());
 }
 
-void register_stage_engine(mangolink::test::store_standin& store,
-                           const stage_engine& one, const std::string& service,
-                           const std::string& zone, unsigned sequence)
+void register_stage_engine(platform_store& store, const stage_engine& one,
+                           const std::string& service, const std::string& zone,
+                           unsigned sequence)
 {
     const json entry{{"service", service},
                      {"address", one.address()},
--- a/review/standins-3/deployment.hpp
+++ b/review/standins-3/deployment.hpp
@@ -3,7 +3,7 @@
 #include "engine.hpp"
 #include "lab/child_process.hpp"
 #include "stage_engine.hpp"
-#include "standins/store_standin.hpp"
+#include "store_standin.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -54,14 +54,14 @@
                                    const std::vector<std::string>& keys);
 
 /// Writes the entry of an engine as the engine itself does.
-void register_engine(mangolink::test::store_standin& store, const engine& one,
+void register_engine(platform_store& store, const engine& one,
                      const std::string& service, const std::string& zone,
                      unsigned slots);
 
 /// The same for an engine of stages, with the number of the report.
-void register_stage_engine(mangolink::test::store_standin& store,
-                           const stage_engine& one, const std::string& service,
-                           const std::string& zone, unsigned sequence);
+void register_stage_engine(platform_store& store, const stage_engine& one,
+                           const std::string& service, const std::string& zone,
+                           unsigned sequence);
 
 /// Returns a request of a requester; `more` holds further header lines.
 std::string request_head(const std::string& method, const std::string& target,
