--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -1,5 +1,6 @@
 #include "../standins-3/deployment.hpp"
 
+#include <deque>
 #include <functional>
 #include <thread>
 
@@ -13,10 +14,12 @@
 using namespace review;
 
 constexpr milliseconds answer_limit{6500};
-constexpr unsigned rounds = 3;
+constexpr unsigned looks_per_step = 4;
 
-/// The engine repeats one answer in this many.
+/// The copy is one of this many answers of the two faulty engines within the
+/// length of the disruption, and one of as many of its own engine.
 constexpr unsigned answers_per_copy = 40;
+constexpr milliseconds garble_length{5000};
 
 constexpr milliseconds into_the_call{30};
 constexpr milliseconds absence{700};
@@ -115,8 +118,8 @@
     {
         all.cut.repeat_next_answer();
     }
-    send_all(record, edge.callers(), {name + "-p", name + "-q"},
-             milliseconds(0), cut_off);
+    send_all(record, edge.callers(), {name + "-p", name + "-q"}, request_gap,
+             cut_off);
     return met;
 }
 
@@ -142,11 +145,42 @@
     return foreign;
 }
 
+/// Sends requests until the engine that will be cut has answered often enough.
+/// Returns how often the two faulty engines answered in the last 5 s.
+unsigned send_before(case_record& record, const deployment& all,
+                     const gateway& edge)
+{
+    std::deque<std::pair<steady_time, unsigned>> steps;
+    unsigned looks = 0;
+    for (unsigned i = 0; all.cut.answered() < answers_per_copy - 1; ++i)
+    {
+        steps.emplace_back(std::chrono::steady_clock::now(),
+                           all.cut.answered() + looks);
+        const auto id = "before-" + std::to_string(i);
+        send_all(record, edge.callers(), {id + "a", id + "b"}, milliseconds(0));
+        for (unsigned look = 0; look < looks_per_step; ++look)
+        {
+            http_peer requester(edge.callers());
+            requester.send(request_head(
+                "GET", "/look/x", id + "-look" + std::to_string(look),
+                first_key, "X-Deadline-Ms: 1500\r\nContent-Length: 0\r\n"));
+            const auto answer = requester.read(answer_limit);
+            looks += answer && answer->status() == 200 ? 1 : 0;
+        }
+    }
+    const auto since = std::chrono::steady_clock::now() - garble_length;
+    while (!steps.empty() && steps.front().first < since)
+    {
+        steps.pop_front();
+    }
+    return steps.empty() ? 0
+                         : all.cut.answered() + looks - steps.front().second;
+}
+
 verdict play(case_record& record)
 {
     deployment all;
-    unsigned sequence = 1;
-    register_stage_engine(all.store, all.cut, "mould", "vestland-a", sequence);
+    register_stage_engine(all.store, all.cut, "mould", "vestland-a", 1);
     register_stage_engine(all.store, all.sound, "mould", "vestland-a", 1);
     register_engine(all.store, all.first, "smelte", "vestland-a", 128);
     register_engine(all.store, all.second, "smelte", "vestland-a", 128);
@@ -158,44 +192,33 @@
     {
         return verdict::not_run;
     }
-    unsigned played = 0;
-    for (unsigned round = 0; round < rounds; ++round)
+    const auto recent = send_before(record, all, edge);
+    record.write(std::to_string(recent) + " answers of " + all.cut.id() +
+                 " and " + all.order.id() + " in the 5 s before the copy");
+    bool met = false;
+    for (unsigned i = 0; i < max_tries && !met; ++i)
     {
-        const std::string name = "r" + std::to_string(round);
-        const auto until = all.cut.answered() + answers_per_copy - 1;
-        for (unsigned i = 0; all.cut.answered() < until; ++i)
-        {
-            const auto id = name + "-" + std::to_string(i);
-            send_all(record, edge.callers(), {id + "a", id + "b"},
-                     milliseconds(0));
-        }
-        bool met = false;
-        for (unsigned i = 0; i < max_tries && !met; ++i)
-        {
-            met = disturb(record, all, edge, name + "-t" + std::to_string(i));
-        }
-        played += met ? 1 : 0;
-        std::this_thread::sleep_for(absence);
-        register_stage_engine(all.store, all.cut, "mould", "vestland-a",
-                              ++sequence);
-        record.write("entry of " + all.cut.id() + " is there again");
-        std::this_thread::sleep_for(watch_time);
-        std::vector<std::string> after;
-        for (unsigned i = 0; i < requests_after; ++i)
-        {
-            after.push_back(name + "-after" + std::to_string(i));
-        }
-        send_all(record, edge.callers(), after, request_gap);
-        write_logs(record, all);
+        met = disturb(record, all, edge, "t" + std::to_string(i));
+    }
+    std::this_thread::sleep_for(absence);
+    register_stage_engine(all.store, all.cut, "mould", "vestland-a", 2);
+    record.write("entry of " + all.cut.id() + " is there again");
+    std::this_thread::sleep_for(watch_time);
+    std::vector<std::string> after;
+    for (unsigned i = 0; i < requests_after; ++i)
+    {
+        after.push_back("after" + std::to_string(i));
     }
+    send_all(record, edge.callers(), after, request_gap);
+    write_logs(record, all);
     record.write_runs(all.first);
     record.write_runs(all.second);
     const auto foreign = count_foreign(record, all);
     record.write(std::to_string(foreign) +
                  " requests were given inputs of another request");
-    return foreign > 0       ? verdict::broken
-           : played < rounds ? verdict::not_run
-                             : verdict::held;
+    return !met || recent < answers_per_copy ? verdict::not_run
+           : foreign > 0                     ? verdict::broken
+                                             : verdict::held;
 }
 
 } // namespace
