Stages: copies of answers are recognised as long as their connection lasts

Cause: stage_caller knew a late copy by the handles of its results, and kept these with the server's entry, for the lifetime of a result. The copy waits on the connection, which lasts longer: over the removal and return of the entry, over an evacuation, and over a lifetime shorter than the idle time. Then the copy passed for the answer of the next call.

Evidence: the case's record shows each result made once, for its own request, and the copy sent just before the next answer on the same connection.

Why this works: an answer can only be repeated on its own connection, and the connection now holds the handles that it has delivered; it is closed before it would have to forget any. A release is no longer done by the answer of a call. result_memory::was_added and backend_caller::close_connections are gone: a copy closes its own connection, the others to the server are sound.

--- a/src/connection/backend_caller.cpp
+++ b/src/connection/backend_caller.cpp
@@ -64,8 +64,9 @@
         co_return std::nullopt;
     }
     answer.base() = current->head();
-    const bool own = !is_own || is_own(answer);
-    if (own && current->reusable())
+    answer_history& history = current->connection()->history();
+    const bool own = !is_own || is_own(answer, history);
+    if (own && !history.full() && current->reusable())
     {
         connections_.release(to->id, current->connection(),
                              current->metadata().keep_alive);
@@ -77,9 +78,4 @@
     co_return answer;
 }
 
-void backend_caller::close_connections(const std::string& server)
-{
-    connections_.forget(server);
-}
-
 } // namespace mangolink
--- a/src/connection/backend_caller.hpp
+++ b/src/connection/backend_caller.hpp
@@ -13,6 +13,7 @@
 namespace mangolink
 {
 
+class answer_history;
 class backend_pool;
 class forward_protocol;
 class memory_budget;
@@ -29,8 +30,9 @@
                    memory_budget& memory);
 
     /// Returns whether a complete answer proves by its contents that it is that
-    /// of the call, and not a late copy of an earlier one.
-    using answer_check = std::function<bool(const text_response&)>;
+    /// of the call, and not a late copy of an earlier one on the connection.
+    using answer_check =
+        std::function<bool(const text_response&, answer_history&)>;
 
     /// Makes a call and returns the complete answer, or nothing on failure. If
     /// `running` is not null, it refers to the exchange while that is running.
@@ -43,9 +45,6 @@
          std::weak_ptr<backend_exchange>* running = nullptr,
          error_code* connect_error = nullptr, answer_check is_own = nullptr);
 
-    /// Closes the idle connections to a server.
-    void close_connections(const std::string& server);
-
 private:
     asio::io_context& io_;
     const forward_protocol& protocol_;
--- a/src/connection/backend_connection.hpp
+++ b/src/connection/backend_connection.hpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.hpp"
 #include "connection/asio_types.hpp"
+#include "request/answer_history.hpp"
 
 #include <memory>
 #include <optional>
@@ -44,6 +45,9 @@
     }
     void set_keep_alive(milliseconds time) { keep_alive_ = time; }
 
+    /// Results that the answers to calls on this connection have named.
+    answer_history& history() { return history_; }
+
     tcp::socket& socket() { return socket_; }
     boost::beast::flat_buffer& buffer() { return buffer_; }
 
@@ -52,6 +56,7 @@
     tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
     std::optional<milliseconds> keep_alive_;
+    answer_history history_;
     bool idle_ = false;
 };
 
--- a/src/connection/forward_protocol.hpp
+++ b/src/connection/forward_protocol.hpp
@@ -113,6 +113,10 @@
     virtual std::vector<stage_item_answer>
     read_stage_answer(std::string_view body, std::size_t items) const = 0;
 
+    /// Returns whether a body is the answer to a stage call, of any number of
+    /// items.
+    virtual bool is_stage_answer(std::string_view body) const = 0;
+
     /// Returns the call that releases results at the server that holds them.
     virtual text_request
     release_call(const backend_server& server,
--- a/src/connection/stage_call_sender.cpp
+++ b/src/connection/stage_call_sender.cpp
@@ -5,10 +5,9 @@
 #include "connection/failure_log.hpp"
 #include "connection/forward_protocol.hpp"
 #include "connection/listening_socket.hpp"
+#include "request/answer_history.hpp"
 #include "request/stage_queue.hpp"
 
-#include <algorithm>
-
 namespace mangolink
 {
 namespace
@@ -20,6 +19,20 @@
 /// Interval at which another server is sought for an overdue call.
 constexpr milliseconds overdue_interval{50};
 
+/// Returns the handles of the results that items were answered with.
+std::vector<std::string> results_of(const std::vector<stage_item_answer>& items)
+{
+    std::vector<std::string> handles;
+    for (const auto& item : items)
+    {
+        if (item.end == stage_item_outcome::made)
+        {
+            handles.push_back(item.handle);
+        }
+    }
+    return handles;
+}
+
 } // namespace
 
 stage_call_sender::stage_call_sender(asio::io_context& io,
@@ -54,22 +67,28 @@
     asio::co_spawn(io_, replace_overdue(running, server, limit),
                    failure_log("overdue stage call"));
     // Only the handle of a result tells which call an answer belongs to.
-    const backend_caller::answer_check is_own = [&](const text_response& answer)
+    const backend_caller::answer_check is_own =
+        [&](const text_response& answer, answer_history& history)
     {
         if (answer.result() == http::status::ok)
         {
             result.items =
                 protocol_.read_stage_answer(answer.body(), call_items.size());
         }
-        return std::any_of(result.items.begin(), result.items.end(),
-                           [](const stage_item_answer& item)
-                           { return item.end == stage_item_outcome::made; });
+        const auto results = results_of(result.items);
+        result.repeated = !history.add(results);
+        return !results.empty() && !result.repeated;
     };
     error_code connect_error;
     const auto answer = co_await calls_.call(
         server, std::move(request), std::move(permit),
         limit + silence_allowance, running.get(), &connect_error, is_own);
     running->reset(); // the connection may be used by another call by now
+    if (result.repeated)
+    {
+        result.items.clear();
+        co_return result;
+    }
     if (!answer)
     {
         result.unconnected = connect_error == asio::error::timed_out;
--- a/src/connection/stage_call_sender.hpp
+++ b/src/connection/stage_call_sender.hpp
@@ -25,6 +25,7 @@
     bool answered = false; ///< executed or refused
     bool shed = false;
     bool unconnected = false; ///< the server accepted no connection in time
+    bool repeated = false;    ///< a copy of an earlier answer came instead
     std::vector<stage_item_answer> items;
     std::optional<server_load> load; ///< told with the answer
 };
--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -463,12 +463,6 @@
     {
         failure_log("stage call")(std::current_exception());
     }
-    if (repeats_results(entry, result))
-    {
-        // A late copy of an earlier answer: the call's own one may follow it.
-        calls_.close_connections(server->id);
-        result = {};
-    }
     const auto now = boot_clock::now();
     const auto duration =
         std::chrono::duration_cast<milliseconds>(now - start_time);
@@ -500,17 +494,6 @@
     schedule_processing(entry);
 }
 
-bool stage_caller::repeats_results(server_entry& entry,
-                                   const stage_call_result& result)
-{
-    return std::any_of(result.items.begin(), result.items.end(),
-                       [&entry](const stage_item_answer& answer)
-                       {
-                           return answer.end == stage_item_outcome::made &&
-                                  entry.queue.memory().was_added(answer.handle);
-                       });
-}
-
 void stage_caller::complete_items(server_entry& entry,
                                   const std::vector<waiting_item>& items,
                                   const stage_call_result& result)
@@ -600,7 +583,9 @@
                     {{"service", service},
                      {"server", server},
                      {"call", call_text},
-                     {"outcome", result.shed ? "no room" : "no answer"}});
+                     {"outcome", result.shed       ? "no room"
+                                 : result.repeated ? "copy of another answer"
+                                                   : "no answer"}});
     }
     else if (log_enabled(log_level::detail))
     {
@@ -630,10 +615,16 @@
             co_return; // the results were lost with their server
         }
         text_request request = protocol_.release_call(*server, handles);
-        const auto answer =
-            co_await calls_.call(server, std::move(request),
-                                 send_permit::unlimited(), release_timeout);
-        released = answer.has_value();
+        // The call's own answer may still follow that to another call.
+        const backend_caller::answer_check is_own =
+            [&](const text_response& answer, answer_history&)
+        {
+            released = !protocol_.is_stage_answer(answer.body());
+            return released;
+        };
+        co_await calls_.call(server, std::move(request),
+                             send_permit::unlimited(), release_timeout, nullptr,
+                             nullptr, is_own);
     }
     if (!released)
     {
@@ -660,7 +651,7 @@
     text_request request = protocol_.memory_query(*server);
     std::optional<std::uint64_t> free;
     const backend_caller::answer_check is_report =
-        [&](const text_response& answer)
+        [&](const text_response& answer, answer_history&)
     {
         free = answer.result() == http::status::ok
                    ? protocol_.read_memory_query(answer.body())
--- a/src/connection/stage_caller.hpp
+++ b/src/connection/stage_caller.hpp
@@ -153,10 +153,6 @@
                              stage_item_outcome end);
     asio::awaitable<void> make_call(server_entry& entry, server_pointer server,
                                     next_call call);
-
-    /// Returns whether the answer of a call has results of an earlier one.
-    static bool repeats_results(server_entry& entry,
-                                const stage_call_result& result);
     void complete_items(server_entry& entry,
                         const std::vector<waiting_item>& items,
                         const stage_call_result& result);
--- a/src/request/result_memory.cpp
+++ b/src/request/result_memory.cpp
@@ -23,7 +23,6 @@
     {
         tracked_ += bytes;
         by_expiry_.push_back({handle, now + lifetime_});
-        added_.insert(handle);
     }
 }
 
@@ -41,7 +40,6 @@
 {
     results_.clear();
     by_expiry_.clear();
-    added_.clear();
     tracked_ = 0;
     untracked_ = 0;
 }
@@ -71,7 +69,6 @@
     while (!by_expiry_.empty() && by_expiry_.front().expires_at <= now)
     {
         release(by_expiry_.front().handle);
-        added_.erase(by_expiry_.front().handle);
         by_expiry_.pop_front();
     }
     const std::uint64_t used = reserved_ + tracked_ + untracked(now);
--- a/src/request/result_memory.hpp
+++ b/src/request/result_memory.hpp
@@ -3,7 +3,6 @@
 #include "base/clock.hpp"
 
 #include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
 
 #include <cstdint>
 #include <deque>
@@ -36,13 +35,6 @@
     void add_result(const std::string& handle, std::uint64_t bytes,
                     boot_clock::time_point now);
 
-    /// Returns whether this result was added within its lifetime, also if it
-    /// was released since.
-    bool was_added(const std::string& handle) const
-    {
-        return added_.contains(handle);
-    }
-
     /// Removes a result that was released.
     void release(const std::string& handle);
 
@@ -75,7 +67,6 @@
     std::uint64_t tracked_ = 0;
     absl::flat_hash_map<std::string, std::uint64_t> results_;
     std::deque<tracked_result> by_expiry_;
-    absl::flat_hash_set<std::string> added_; ///< handles in by_expiry_
 };
 
 } // namespace mangolink
--- a/tests/platform/stage_caller_test.cpp
+++ b/tests/platform/stage_caller_test.cpp
@@ -23,8 +23,9 @@
 class caller_of_one_server final
 {
 public:
-    explicit caller_of_one_server(const socket_address& address,
-                                  bool shares_backlog = false)
+    explicit caller_of_one_server(
+        const socket_address& address, bool shares_backlog = false,
+        milliseconds result_lifetime = milliseconds(4000))
         : connections_(
               io_, [](const backend_server&) { return 4; }, metrics_),
           calls_(io_, protocol_, connections_, nullptr, memory_),
@@ -41,7 +42,7 @@
         service.pool->batch_size = 4;
         service.pool->call_time = milliseconds(100);
         service.pool->result_memory_bytes = 10'000;
-        service.pool->result_lifetime = milliseconds(4000);
+        service.pool->result_lifetime = result_lifetime;
         gateway_configuration_data data;
         data.version = 1;
         data.services = {service};
@@ -75,10 +76,34 @@
 
     void remove_server()
     {
+        if (const auto server = state_.directory().find("encode-1"))
+        {
+            removed_server_ = *server;
+        }
         state_.directory().remove("encode-1", false, boot_clock::now());
         caller_.servers_changed();
     }
 
+    /// Brings the removed server back, as the same start.
+    void return_server()
+    {
+        ++removed_server_.sequence;
+        state_.directory().put(removed_server_);
+        caller_.servers_changed();
+    }
+
+    void evacuate()
+    {
+        state_.directory().set_evacuated_zones({"zone-a"}, boot_clock::now());
+        caller_.servers_changed();
+    }
+
+    void take_back()
+    {
+        state_.directory().set_evacuated_zones({}, boot_clock::now());
+        caller_.servers_changed();
+    }
+
     void hold_server(milliseconds time)
     {
         state_.holds().hold(*state_.directory().find("encode-1"), time,
@@ -137,6 +162,7 @@
     gateway_state state_;
     stage_router router_;
     stage_caller caller_;
+    backend_server removed_server_;
 };
 
 } // namespace
@@ -163,6 +189,9 @@
     CPPUNIT_TEST(a_server_is_removed_while_a_call_begins);
     CPPUNIT_TEST(a_held_server_is_reported_as_ejected);
     CPPUNIT_TEST(a_late_copy_of_an_answer_is_no_result);
+    CPPUNIT_TEST(a_late_copy_is_no_result_after_the_server_was_away);
+    CPPUNIT_TEST(a_late_copy_is_no_result_after_its_results_expired);
+    CPPUNIT_TEST(a_late_copy_is_no_answer_to_a_release);
     CPPUNIT_TEST(a_late_copy_without_results_shifts_no_later_answer);
     CPPUNIT_TEST(results_are_released_after_a_silence);
     CPPUNIT_TEST(servers_that_only_share_items_are_not_reported);
@@ -250,6 +279,91 @@
                 });
     }
 
+    /// Guards against a request that runs with the results of another one,
+    /// after the entry of a stage server was away around a call (review/11).
+    void a_late_copy_is_no_result_after_the_server_was_away()
+    {
+        using action = void (caller_of_one_server::*)();
+        struct absence final
+        {
+            const char* name;
+            action begin;
+            action end;
+        };
+        for (const auto& [name, begin, end] :
+             {absence{"entry removed", &caller_of_one_server::remove_server,
+                      &caller_of_one_server::return_server},
+              absence{"zone evacuated", &caller_of_one_server::evacuate,
+                      &caller_of_one_server::take_back}})
+        {
+            section(name,
+                    [begin = begin, end = end]
+                    {
+                        unsigned call_count = 0;
+                        standin_server server(
+                            [&](const text_request&,
+                                const standin_server::reply& reply)
+                            {
+                                auto script = answer_with_copy(++call_count);
+                                script.parts.front().pause = milliseconds(50);
+                                reply(std::move(script));
+                            });
+                        caller_of_one_server calls(server.address());
+                        const auto first = std::make_shared<item_client>();
+                        calls.enqueue_item(first);
+                        calls.run_until_idle(milliseconds(20));
+                        (calls.*begin)();
+                        run_until_ended(calls, *first);
+                        CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:1/1"),
+                                             first->handle);
+                        (calls.*begin)(); // another change, without the server
+                        (calls.*end)();
+                        assert_no_result(calls);
+                    });
+        }
+    }
+
+    /// Guards against a request that runs with the results of another one, if a
+    /// copy comes after the lifetime of the results that it names.
+    void a_late_copy_is_no_result_after_its_results_expired()
+    {
+        constexpr milliseconds lifetime{30};
+        unsigned call_count = 0;
+        standin_server server(
+            [&](const text_request&, const standin_server::reply& reply)
+            { reply(answer_with_copy(++call_count)); });
+        caller_of_one_server calls(server.address(), false, lifetime);
+        const auto first = std::make_shared<item_client>();
+        calls.enqueue_item(first);
+        run_until_ended(calls, *first);
+        calls.run_until_idle(2 * lifetime);
+        assert_no_result(calls);
+    }
+
+    /// Guards against a release that counts as done by a copy of the answer to
+    /// a call, and whose own answer then ends the next call.
+    void a_late_copy_is_no_answer_to_a_release()
+    {
+        std::atomic<unsigned> releases{0};
+        standin_server server(
+            [&](const text_request& request, const standin_server::reply& reply)
+            {
+                const bool is_release = request.target() == "/v1/stage-free";
+                releases += is_release ? 1 : 0;
+                // The first release meets the copy of the answer to the call.
+                reply(is_release && releases > 1
+                          ? scripted_answer::of(200, "{}")
+                          : answer_with_copy(1));
+            });
+        caller_of_one_server calls(server.address());
+        const auto first = std::make_shared<item_client>();
+        calls.enqueue_item(first);
+        run_until_ended(calls, *first);
+        calls.release_result(first->handle);
+        calls.run_until_idle(milliseconds(1000));
+        CPPUNIT_ASSERT_EQUAL(2U, releases.load());
+    }
+
     void a_late_copy_without_results_shifts_no_later_answer()
     {
         for (const auto* unsuccessful : {R"({"entries":[{"reason":"error"}]})",
@@ -319,6 +433,17 @@
         }
     }
 
+    /// Asserts that a call whose answer follows a copy has no result.
+    static void assert_no_result(caller_of_one_server& calls)
+    {
+        const auto next = std::make_shared<item_client>();
+        calls.enqueue_item(next);
+        run_until_ended(calls, *next);
+        CPPUNIT_ASSERT(next->outcomes ==
+                       std::vector{stage_item_outcome::failed});
+        CPPUNIT_ASSERT(next->handle.empty());
+    }
+
     /// Asserts that each of two calls after an unsuccessful one gets its own
     /// result.
     static void assert_own_results(caller_of_one_server& calls)
