Stages: a server that no longer leaves gets calls again

What callers saw: after the entry of a stage server said draining during a call and then ready again (same start, higher sequence), every request with that stage was refused after 0 ms, "stage pool failed", though another server of the pool was idle.

Cause: backend_directory::put named the return "none", so nobody was told. The router, which asks the directory, chose the server; stage_caller, which keeps a copy of the entry, had it as removed and returned the items unsent, 200 times in a row.

The section in backend_directory_test needs the new enumerator and was not run on the old code.

Why this works: every change of a server's attributes is now named and told, as after a complete list, and stage_caller asks the directory before it takes work, so that it can't refuse what the router may choose.

--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -119,17 +119,22 @@
                    { return pair.second->is_removable(); });
     for (auto& [id, entry] : entries_)
     {
-        auto next = state_.directory().find(id);
-        if (next && entry->started_ms != next->started_ms)
-        {
-            entry->started_ms = next->started_ms;
-            entry->queue.memory().server_restarted();
-        }
-        entry->server = std::move(next);
+        entry->update_server(state_.directory().find(id));
         schedule_processing(*entry);
     }
 }
 
+void stage_caller::server_entry::update_server(
+    std::shared_ptr<const backend_server> current)
+{
+    if (current && started_ms != current->started_ms)
+    {
+        started_ms = current->started_ms;
+        queue.memory().server_restarted();
+    }
+    server = std::move(current);
+}
+
 bool stage_caller::server_entry::is_removable() const
 {
     return !server && !queue.busy() && !processing_scheduled &&
@@ -147,12 +152,15 @@
 stage_caller::server_entry*
 stage_caller::find_or_add_entry(const std::string& server)
 {
+    // The router chooses by the directory: an entry that lags behind it would
+    // return the items, which the router would send here again.
+    const auto known_server = state_.directory().find(server);
     const auto found = entries_.find(server);
-    if (found != entries_.end())
+    if (found != entries_.end() && known_server)
     {
-        return found->second->server ? found->second.get() : nullptr;
+        found->second->update_server(known_server);
+        return found->second.get();
     }
-    const auto known_server = state_.directory().find(server);
     const auto* pool_parameters =
         known_server ? state_.find_stage_pool(known_server->service) : nullptr;
     if (pool_parameters == nullptr)
--- a/src/connection/stage_caller.hpp
+++ b/src/connection/stage_caller.hpp
@@ -96,6 +96,9 @@
         /// Resumes processing when the ejection of the server ends.
         std::optional<asio::steady_timer> processing_timer;
 
+        /// Applies what the directory says of the server now; null: removed.
+        void update_server(std::shared_ptr<const backend_server> current);
+
         /// Returns whether the server is removed and the entry unreferenced.
         bool is_removable() const;
     };
--- a/src/process/backend_directory.cpp
+++ b/src/process/backend_directory.cpp
@@ -51,6 +51,10 @@
         {
             change = directory_change::leaving;
         }
+        else if (!known.has_same_attributes(server))
+        {
+            change = directory_change::updated;
+        }
     }
     const auto presumed = presumed_cold_.find(server.zone);
     if (presumed != presumed_cold_.end())
--- a/src/process/backend_directory.hpp
+++ b/src/process/backend_directory.hpp
@@ -21,6 +21,7 @@
     none,
     outdated, ///< older than the known entry; ignored
     joined,
+    updated,   ///< other attributes, or it no longer leaves
     restarted, ///< same id, but another start time or address
     leaving,
     suspected, ///< entry missing after a disruption of the store
--- a/src/roles/gateway_state_updater.cpp
+++ b/src/roles/gateway_state_updater.cpp
@@ -400,9 +400,9 @@
 {
     static constexpr const char* names[] = {
         "unchanged", "outdated report ignored",
-        "joined",    "restarted",
-        "leaving",   "suspected",
-        "removed"};
+        "joined",    "updated",
+        "restarted", "leaving",
+        "suspected", "removed"};
     log_notice("directory", names[static_cast<std::size_t>(change)],
                {{"server", server.id},
                 {"source", std::string(source)},
--- a/tests/platform/stage_caller_test.cpp
+++ b/tests/platform/stage_caller_test.cpp
@@ -13,6 +13,8 @@
 #include "support/item_client.hpp"
 #include "support/section.hpp"
 
+#include <atomic>
+
 namespace mangolink::test
 {
 namespace
@@ -104,6 +106,20 @@
         caller_.servers_changed();
     }
 
+    /// Lets the entry of the server say that it leaves, and then no longer;
+    /// of the latter the caller is not told.
+    void leave_and_stay()
+    {
+        backend_server entry = *state_.directory().find("encode-1");
+        entry.leaving = true;
+        ++entry.sequence;
+        state_.directory().put(entry);
+        caller_.servers_changed();
+        entry.leaving = false;
+        ++entry.sequence;
+        state_.directory().put(entry);
+    }
+
     void hold_server(milliseconds time)
     {
         state_.holds().hold(*state_.directory().find("encode-1"), time,
@@ -193,6 +209,7 @@
     CPPUNIT_TEST(a_late_copy_is_no_result_after_its_results_expired);
     CPPUNIT_TEST(a_late_copy_is_no_answer_to_a_release);
     CPPUNIT_TEST(a_late_copy_without_results_shifts_no_later_answer);
+    CPPUNIT_TEST(a_server_that_no_longer_leaves_gets_calls);
     CPPUNIT_TEST(results_are_released_after_a_silence);
     CPPUNIT_TEST(servers_that_only_share_items_are_not_reported);
     CPPUNIT_TEST_SUITE_END();
@@ -387,6 +404,24 @@
         }
     }
 
+    /// Guards against items that are returned unsent because the caller was
+    /// not told that a server can be used again.
+    void a_server_that_no_longer_leaves_gets_calls()
+    {
+        standin_server server(
+            [](const text_request&, const standin_server::reply& reply)
+            { reply(slow_answer(1)); });
+        caller_of_one_server calls(server.address());
+        const auto first = std::make_shared<item_client>();
+        calls.enqueue_item(first);
+        run_until_ended(calls, *first);
+        calls.leave_and_stay();
+        const auto second = std::make_shared<item_client>();
+        calls.enqueue_item(second);
+        CPPUNIT_ASSERT(second->outcomes.empty());
+        CPPUNIT_ASSERT(calls.busy());
+    }
+
     void results_are_released_after_a_silence()
     {
         std::atomic<unsigned> releases{0};
@@ -414,7 +449,7 @@
         return script;
     }
 
-    static scripted_answer slow_answer(unsigned call)
+    static scripted_answer slow_answer(std::size_t call)
     {
         auto script =
             scripted_answer::of(200, R"({"entries":[{"handle":"127.0.0.1:1/)" +
--- a/tests/platform/stages_test.cpp
+++ b/tests/platform/stages_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(a_full_server_is_queried_for_memory);
     CPPUNIT_TEST(a_request_cut_in_its_first_event_keeps_its_inputs);
     CPPUNIT_TEST(a_resumed_stream_is_not_cut_behind_full_batches);
+    CPPUNIT_TEST(a_server_that_no_longer_leaves_costs_no_pool);
     CPPUNIT_TEST(a_process_that_dies_is_replaced);
     CPPUNIT_TEST(a_paused_process_is_replaced);
     CPPUNIT_TEST_SUITE_END();
@@ -322,6 +323,34 @@
                              answer->body());
     }
 
+    /// Guards against requests refused though stage servers are idle, after the
+    /// entry of one said that it leaves and then no longer.
+    void a_server_that_no_longer_leaves_costs_no_pool()
+    {
+        constexpr milliseconds call_time{150};
+        test_cluster cluster;
+        prepare(cluster);
+        auto& leaving =
+            cluster.add_stage_server("encode", "encode-1", call_time);
+        cluster.add_stage_server("encode", "encode-2", call_time);
+        cluster.add_stage_server("rerank", "rerank-1", milliseconds(20));
+        auto& gateway = cluster.start_gateway();
+        std::size_t served = 0;
+        std::thread before([&] { served = send_requests(cluster, 8, 1); });
+        CPPUNIT_ASSERT(
+            bench::wait_until([&] { return !leaving.received().empty(); }));
+        cluster.register_server("encode-1", "draining");
+        CPPUNIT_ASSERT(bench::wait_until(
+            [&] {
+                return gateway.log_text().find("leaving") != std::string::npos;
+            }));
+        cluster.register_server("encode-1", "ready");
+        before.join();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), served);
+        std::this_thread::sleep_for(call_time);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), send_requests(cluster, 8, 1));
+    }
+
     void a_process_that_dies_is_replaced()
     {
         replace_with([](bench::child_process& process)
--- a/tests/unit/backend_directory_test.cpp
+++ b/tests/unit/backend_directory_test.cpp
@@ -49,6 +49,13 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), usable());
         CPPUNIT_ASSERT(!directory_.find("s1"));
         CPPUNIT_ASSERT(!directory_.find_address("127.0.0.1:9000"));
+        section("until a later report says that they stay",
+                [&]
+                {
+                    CPPUNIT_ASSERT(directory_change::updated ==
+                                   directory_.put(make_entry("s1", 5, 4)));
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(1), usable());
+                });
     }
 
     void a_mark_outlasts_the_entries_of_its_start()
