Connections: an idle one is used for the start that it leads to

What a caller could see: after a stage server started again under its id at another address while a call was at work at the earlier start, the next call went to the earlier start, whose results the new one doesn't have.

Cause: the pool held connections by id, and calls, releases and memory queries gave theirs back without asking whether the start was still the known one, as requests of callers did.

Evidence: a_connection_to_an_earlier_start_is_not_used_again failed before (two calls at the earlier start, 1 expected).

Why this works: the pool keeps the start with each idle connection and closes one that leads to another. That is the only place that hands connections out, so attempt_sender no longer compares starts.

--- a/src/connection/attempt_sender.cpp
+++ b/src/connection/attempt_sender.cpp
@@ -98,7 +98,7 @@
             end_unsent(server->id, send_outcome::cancelled);
             if (lease.connection)
             {
-                context_.connections.release(server->id, lease.connection, {});
+                context_.connections.release(server, lease.connection, {});
             }
             co_return nullptr;
         }
@@ -106,7 +106,7 @@
             state.holds().is_held(*server, boot_clock::now()))
         {
             end_unsent(server->id, send_outcome::cancelled);
-            context_.connections.release(server->id, lease.connection, {});
+            context_.connections.release(server, lease.connection, {});
             continue;
         }
         // The server may have been removed, or its region withdrawn, while the
@@ -139,9 +139,9 @@
 
 void attempt_sender::return_unsent(const forward_attempt& attempt)
 {
-    const std::string& id = attempt.server()->id;
-    end_unsent(id, send_outcome::cancelled);
-    context_.connections.release(id, attempt.exchange()->connection(), {});
+    end_unsent(attempt.server()->id, send_outcome::cancelled);
+    context_.connections.release(attempt.server(),
+                                 attempt.exchange()->connection(), {});
 }
 
 void attempt_sender::count(const forward_attempt& attempt)
@@ -187,12 +187,11 @@
     // The server gets the request again, and a late copy of this answer would
     // pass for the next one. One that left meanwhile needs its connections no
     // more.
-    const auto known = context_.state.directory().find(id);
     if (attempt.end() != attempt_outcome::inputs_gone &&
-        attempt.exchange()->reusable() && known &&
-        known->started_ms == attempt.server()->started_ms)
+        attempt.exchange()->reusable() && context_.state.directory().find(id))
     {
-        context_.connections.release(id, attempt.exchange()->connection(),
+        context_.connections.release(attempt.server(),
+                                     attempt.exchange()->connection(),
                                      attempt.exchange()->metadata().keep_alive);
     }
     else
--- a/src/connection/backend_caller.cpp
+++ b/src/connection/backend_caller.cpp
@@ -68,7 +68,7 @@
     const bool own = !is_own || is_own(answer, history);
     if (own && !history.full() && current->reusable())
     {
-        connections_.release(to->id, current->connection(),
+        connections_.release(to, current->connection(),
                              current->metadata().keep_alive);
     }
     else
--- a/src/connection/backend_pool.cpp
+++ b/src/connection/backend_pool.cpp
@@ -44,7 +44,8 @@
     {
         const idle_connection last = std::move(connections.back());
         connections.pop_back();
-        if (last.until > now && last.connection->end_idle())
+        if (last.leads_to(*server) && last.until > now &&
+            last.connection->end_idle())
         {
             reused_.add();
             result.connection = last.connection;
@@ -79,7 +80,7 @@
     co_return result;
 }
 
-void backend_pool::release(const std::string& server,
+void backend_pool::release(std::shared_ptr<const backend_server> server,
                            connection_pointer connection,
                            std::optional<milliseconds> keep_alive)
 {
@@ -92,11 +93,18 @@
     if (idle > milliseconds(0))
     {
         connection->begin_idle();
-        idle_[server].push_back(
-            {std::move(connection), boot_clock::now() + idle});
+        const auto until = boot_clock::now() + idle;
+        idle_[server->id].push_back(
+            {std::move(server), std::move(connection), until});
     }
 }
 
+bool backend_pool::idle_connection::leads_to(const backend_server& other) const
+{
+    return server->started_ms == other.started_ms &&
+           server->address == other.address;
+}
+
 void backend_pool::forget(const std::string& server)
 {
     idle_.erase(server);
--- a/src/connection/backend_pool.hpp
+++ b/src/connection/backend_pool.hpp
@@ -51,10 +51,11 @@
     asio::awaitable<lease> acquire(std::shared_ptr<const backend_server> server,
                                    milliseconds limit);
 
-    /// Keeps a connection for reuse for the server's keep-alive time, by
-    /// default the one stated last on it, or for a default time if there is
-    /// none.
-    void release(const std::string& server, connection_pointer connection,
+    /// Keeps a connection to a start of a server for reuse for the server's
+    /// keep-alive time, by default the one stated last on it, or for a default
+    /// time if there is none.
+    void release(std::shared_ptr<const backend_server> server,
+                 connection_pointer connection,
                  std::optional<milliseconds> keep_alive);
 
     /// Closes the idle connections of a removed server.
@@ -68,6 +69,10 @@
 private:
     struct idle_connection final
     {
+        /// Returns whether the connection leads to this start of the server.
+        bool leads_to(const backend_server& other) const;
+
+        std::shared_ptr<const backend_server> server;
         connection_pointer connection;
         boot_clock::time_point until;
     };
--- a/tests/platform/stage_caller_test.cpp
+++ b/tests/platform/stage_caller_test.cpp
@@ -13,6 +13,7 @@
 #include "support/item_client.hpp"
 #include "support/section.hpp"
 
+#include <array>
 #include <atomic>
 
 namespace mangolink::test
@@ -120,6 +121,16 @@
         state_.directory().put(entry);
     }
 
+    /// Starts the server again under its id, at another address.
+    void move_server(const socket_address& address)
+    {
+        backend_server server = *state_.directory().find("encode-1");
+        ++server.started_ms;
+        server.address = address;
+        state_.directory().put(server);
+        caller_.servers_changed();
+    }
+
     void hold_server(milliseconds time)
     {
         state_.holds().hold(*state_.directory().find("encode-1"), time,
@@ -210,6 +221,7 @@
     CPPUNIT_TEST(a_late_copy_is_no_answer_to_a_release);
     CPPUNIT_TEST(a_late_copy_without_results_shifts_no_later_answer);
     CPPUNIT_TEST(a_server_that_no_longer_leaves_gets_calls);
+    CPPUNIT_TEST(a_connection_to_an_earlier_start_is_not_used_again);
     CPPUNIT_TEST(results_are_released_after_a_silence);
     CPPUNIT_TEST(servers_that_only_share_items_are_not_reported);
     CPPUNIT_TEST_SUITE_END();
@@ -422,6 +434,32 @@
         CPPUNIT_ASSERT(calls.busy());
     }
 
+    /// Guards against a call of a server that was started again elsewhere, sent
+    /// to the process that had the id before.
+    void a_connection_to_an_earlier_start_is_not_used_again()
+    {
+        std::array<std::atomic<unsigned>, 2> call_counts{};
+        const auto count = [&call_counts](std::size_t start)
+        {
+            return [&call_counts, start](const text_request&,
+                                         const standin_server::reply& reply)
+            { reply(slow_answer(++call_counts[start] + 10 * start)); };
+        };
+        standin_server earlier(count(0));
+        standin_server later(count(1));
+        caller_of_one_server calls(earlier.address());
+        const auto first = std::make_shared<item_client>();
+        calls.enqueue_item(first);
+        calls.run_until_idle(milliseconds(50));
+        calls.move_server(later.address());
+        run_until_ended(calls, *first);
+        const auto second = std::make_shared<item_client>();
+        calls.enqueue_item(second);
+        run_until_ended(calls, *second);
+        CPPUNIT_ASSERT_EQUAL(1U, call_counts[0].load());
+        CPPUNIT_ASSERT_EQUAL(1U, call_counts[1].load());
+    }
+
     void results_are_released_after_a_silence()
     {
         std::atomic<unsigned> releases{0};
