Settings: times in the unit of their source, with fractions

Cause: the template made milliseconds of seconds by writing zeros behind the figure, and the reader of the settings took no number with a point where it wanted a whole one.

Why this works: a time setting is read as NAME_ms or NAME_s, either with a fraction, so that the template names the platform's unit and computes nothing. Limits are rounded down and windows up, after rounding to microseconds, so that a decimal fraction isn't shifted by its binary form. Whole numbers may have a point, memory_mb a fraction. Files with _ms load as before; a wrong value, and a time given in both units, gets its error with file, line and range.

--- a/src/base/instance_settings.cpp
+++ b/src/base/instance_settings.cpp
@@ -34,9 +34,8 @@
     result.level = read_log_level(reader, "instance.log_level");
     result.admin_address = reader.required_address("instance.admin_address");
     result.admin_key = reader.required_text("instance.admin_key");
-    result.drain_limit =
-        reader.duration_ms("instance.drain_limit_ms", result.drain_limit,
-                           milliseconds(0), hours(1));
+    result.drain_limit = reader.duration(
+        "instance.drain_limit", result.drain_limit, milliseconds(0), hours(1));
     result.configuration_service =
         reader.optional_address("platform.configuration_service");
     result.instance_list = reader.optional_address("platform.instance_list");
--- a/src/base/settings_reader.cpp
+++ b/src/base/settings_reader.cpp
@@ -6,7 +6,11 @@
 #include <toml++/toml.h>
 
 #include <algorithm>
+#include <array>
+#include <cmath>
 #include <fstream>
+#include <limits>
+#include <optional>
 #include <sstream>
 
 namespace mangolink
@@ -33,6 +37,56 @@
     return out.str();
 }
 
+std::string to_toml_number(double number)
+{
+    std::ostringstream out;
+    out.precision(std::numeric_limits<double>::digits10);
+    out << number;
+    return out.str();
+}
+
+/// Unit in which a time may be given, and the end of its key.
+struct time_unit final
+{
+    std::string_view suffix;
+    const char* name;
+    std::chrono::duration<double, std::milli> length;
+};
+
+constexpr std::array<time_unit, 2> time_units{
+    {{"_ms", "milliseconds", milliseconds(1)},
+     {"_s", "seconds", std::chrono::seconds(1)}}};
+
+milliseconds to_milliseconds(std::chrono::duration<double, std::milli> time,
+                             duration_rounding rounding)
+{
+    // A decimal fraction may be slightly more or less as a binary one.
+    const auto exact = std::chrono::round<std::chrono::microseconds>(time);
+    return rounding == duration_rounding::down
+               ? std::chrono::floor<milliseconds>(exact)
+               : std::chrono::ceil<milliseconds>(exact);
+}
+
+/// Removes the same time in another unit.
+void erase_other_units(toml::table& table, std::string_view key)
+{
+    for (const auto& unit : time_units)
+    {
+        if (!key.ends_with(unit.suffix))
+        {
+            continue;
+        }
+        const std::string name(key.substr(0, key.size() - unit.suffix.size()));
+        for (const auto& other : time_units)
+        {
+            if (other.suffix != unit.suffix)
+            {
+                table.erase(name + std::string(other.suffix));
+            }
+        }
+    }
+}
+
 void collect_keys(const toml::table& table, const std::string& prefix,
                   std::vector<std::string>& keys)
 {
@@ -50,6 +104,22 @@
     }
 }
 
+/// Returns a whole number, which may be written with a point.
+std::optional<std::int64_t>
+whole_number(const toml::node_view<toml::node>& node)
+{
+    constexpr double max_exact = 9007199254740992; // 2^53
+    const auto* real = node.as_floating_point();
+    if (real == nullptr)
+    {
+        return node.value_exact<std::int64_t>();
+    }
+    const double value = real->get();
+    return std::abs(value) <= max_exact && std::trunc(value) == value
+               ? std::optional(static_cast<std::int64_t>(value))
+               : std::nullopt;
+}
+
 } // namespace
 
 struct settings_reader::state final
@@ -108,6 +178,7 @@
         }
         rest = rest.substr(dot + 1);
     }
+    erase_other_units(*target, rest);
     target->insert_or_assign(rest, *parsed.get("value"));
 }
 
@@ -206,7 +277,7 @@
     std::int64_t result = default_value;
     if (node)
     {
-        const auto value = node.value_exact<std::int64_t>();
+        const auto value = whole_number(node);
         if (!value || *value < min_value || *value > max_value)
         {
             add_problem(key, "must be a whole number from " +
@@ -231,17 +302,14 @@
             node.is_number() ? node.value<double>() : std::optional<double>();
         if (!value || !(*value >= min_value && *value <= max_value))
         {
-            std::ostringstream range;
-            range << "must be a number from " << min_value << " to "
-                  << max_value;
-            add_problem(key, range.str());
+            add_problem(key, "must be a number from " +
+                                 to_toml_number(min_value) + " to " +
+                                 to_toml_number(max_value));
             return default_value;
         }
         result = *value;
     }
-    std::ostringstream text_value;
-    text_value << result;
-    record_value(key, text_value.str());
+    record_value(key, to_toml_number(result));
     return result;
 }
 
@@ -261,13 +329,48 @@
     return result;
 }
 
-milliseconds settings_reader::duration_ms(std::string_view key,
-                                          milliseconds default_value,
-                                          milliseconds min_value,
-                                          milliseconds max_value)
+milliseconds settings_reader::duration(std::string_view name,
+                                       milliseconds default_value,
+                                       milliseconds min_value,
+                                       milliseconds max_value,
+                                       duration_rounding rounding)
 {
-    return milliseconds(integer(key, default_value.count(), min_value.count(),
-                                max_value.count()));
+    milliseconds result = default_value;
+    std::string used_key;
+    for (const auto& unit : time_units)
+    {
+        const std::string key = std::string(name) + std::string(unit.suffix);
+        const auto node = state_->table.at_path(key);
+        if (!node)
+        {
+            continue;
+        }
+        if (!used_key.empty())
+        {
+            add_problem(key, "also given as " + used_key);
+            continue;
+        }
+        used_key = key;
+        const double value = node.is_number()
+                                 ? node.value_or(0.0)
+                                 : std::numeric_limits<double>::quiet_NaN();
+        const auto time = value * unit.length;
+        if (!(time >= min_value && time <= max_value))
+        {
+            add_problem(key,
+                        std::string("must be a number of ") + unit.name +
+                            " from " + to_toml_number(min_value / unit.length) +
+                            " to " + to_toml_number(max_value / unit.length));
+            continue;
+        }
+        result = to_milliseconds(time, rounding);
+        record_value(key, to_toml_number(value));
+    }
+    if (used_key.empty())
+    {
+        record_value(std::string(name) + "_ms", std::to_string(result.count()));
+    }
+    return result;
 }
 
 void settings_reader::throw_if_invalid()
--- a/src/base/settings_reader.hpp
+++ b/src/base/settings_reader.hpp
@@ -11,6 +11,13 @@
 namespace mangolink
 {
 
+/// Which way a time is rounded to whole milliseconds.
+enum class duration_rounding : std::uint8_t
+{
+    down, ///< for limits, which are not exceeded
+    up    ///< for windows, which are not shortened
+};
+
 /// Reads one settings file and validates every key.
 ///
 /// Keys are dotted, such as "entry.zone". Each read names the default, unless
@@ -27,8 +34,9 @@
     settings_reader(const settings_reader&) = delete;
     settings_reader& operator=(const settings_reader&) = delete;
 
-    /// Overrides a value of the file with "key=value". The value is parsed as
-    /// TOML; one that is not TOML is taken as a string.
+    /// Overrides a value of the file with "key=value", also the same time in
+    /// another unit. The value is parsed as TOML; one that is not TOML is taken
+    /// as a string.
     void apply_override(std::string_view assignment);
 
     /// Reads a required string.
@@ -50,7 +58,7 @@
     /// Reads a list of strings; empty if the key is missing.
     std::vector<std::string> text_list(std::string_view key);
 
-    /// Reads an integer in a range.
+    /// Reads an integer in a range, which may be written with a point.
     std::int64_t integer(std::string_view key, std::int64_t default_value,
                          std::int64_t min_value, std::int64_t max_value);
 
@@ -61,9 +69,11 @@
     /// Reads a boolean.
     bool boolean(std::string_view key, bool default_value);
 
-    /// Reads an integer number of milliseconds in a range.
-    milliseconds duration_ms(std::string_view key, milliseconds default_value,
-                             milliseconds min_value, milliseconds max_value);
+    /// Reads a time in a range: a number of milliseconds, or of seconds, under
+    /// the name followed by "_ms" or "_s". Both may have fractions.
+    milliseconds duration(std::string_view name, milliseconds default_value,
+                          milliseconds min_value, milliseconds max_value,
+                          duration_rounding rounding = duration_rounding::down);
 
     /// Throws settings_error if a problem was found or a key of the file was
     /// never read.
--- a/src/roles/agent_settings.cpp
+++ b/src/roles/agent_settings.cpp
@@ -19,10 +19,10 @@
     result.core.max_keys = static_cast<std::size_t>(reader.integer(
         "agent.max_keys", static_cast<std::int64_t>(result.core.max_keys), 1,
         1'000'000));
-    result.core.attempt_retention = reader.duration_ms(
-        "agent.attempt_retention_ms",
+    result.core.attempt_retention = reader.duration(
+        "agent.attempt_retention",
         std::chrono::duration_cast<milliseconds>(result.core.attempt_retention),
-        milliseconds(1000), std::chrono::hours(2));
+        milliseconds(1000), std::chrono::hours(2), duration_rounding::up);
     return result;
 }
 
--- a/src/roles/entry_settings.cpp
+++ b/src/roles/entry_settings.cpp
@@ -27,9 +27,9 @@
         "routing.subset_size", core.members.subset_size, 1, 512));
     core.members.ejection_failures = static_cast<std::uint32_t>(reader.integer(
         "routing.ejection_failures", core.members.ejection_failures, 1, 1000));
-    core.members.ejection_time = reader.duration_ms(
-        "routing.ejection_time_ms", core.members.ejection_time, milliseconds(0),
-        milliseconds(600'000));
+    core.members.ejection_time =
+        reader.duration("routing.ejection_time", core.members.ejection_time,
+                        milliseconds(0), milliseconds(600'000));
     core.members.max_ejected_fraction = reader.number(
         "routing.most_ejected", core.members.max_ejected_fraction, 0, 1);
 }
@@ -50,11 +50,11 @@
 
 void read_membership(settings_reader& reader, entry_core_settings& core)
 {
-    core.heartbeat_interval = reader.duration_ms(
-        "membership.heartbeat_interval_ms", core.heartbeat_interval,
+    core.heartbeat_interval = reader.duration(
+        "membership.heartbeat_interval", core.heartbeat_interval,
         milliseconds(50), milliseconds(60'000));
-    core.members.heartbeat_timeout = reader.duration_ms(
-        "membership.silence_limit_ms", core.members.heartbeat_timeout,
+    core.members.heartbeat_timeout = reader.duration(
+        "membership.silence_limit", core.members.heartbeat_timeout,
         milliseconds(100), milliseconds(600'000));
 }
 
@@ -73,11 +73,11 @@
         "entry.max_body_bytes", static_cast<std::int64_t>(result.max_body), 1,
         2 * megabyte));
     result.max_deadline =
-        reader.duration_ms("entry.max_deadline_ms", result.max_deadline,
-                           milliseconds(1), std::chrono::hours(1));
+        reader.duration("entry.max_deadline", result.max_deadline,
+                        milliseconds(1), std::chrono::hours(1));
     result.read_limit =
-        reader.duration_ms("entry.read_limit_ms", result.read_limit,
-                           milliseconds(100), milliseconds(600'000));
+        reader.duration("entry.read_limit", result.read_limit,
+                        milliseconds(100), milliseconds(600'000));
     result.stream_interval = microseconds(reader.integer(
         "entry.stream_interval_us", result.stream_interval.count(), 0, 50'000));
     read_routing(reader, result.core);
--- a/src/roles/gateway_settings.cpp
+++ b/src/roles/gateway_settings.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::int64_t megabyte = 1024 * 1024;
+constexpr double megabyte = 1024 * 1024;
 
 } // namespace
 
@@ -25,14 +25,13 @@
     result.processor_share = reader.number(
         "instance.processor_share", result.processor_share, 0.001, 10'000);
     result.memory_bytes = static_cast<std::uint64_t>(
-        reader.integer("instance.memory_mb", 256, 32, 1'000'000) * megabyte);
+        reader.number("instance.memory_mb", 256, 32, 1'000'000) * megabyte);
     result.caller_address = reader.required_address("gateway.callers");
     result.readiness_address = reader.required_address("gateway.readiness");
     result.peer_address = reader.optional_address("gateway.peers");
     result.operator_address = reader.optional_address("gateway.operators");
-    result.stop_limit =
-        reader.duration_ms("gateway.stop_limit_ms", result.stop_limit,
-                           milliseconds(100), hours(1));
+    result.stop_limit = reader.duration("gateway.stop_limit", result.stop_limit,
+                                        milliseconds(100), hours(1));
     result.seeds = reader.text_list("gateway.seeds");
     result.store_address = reader.required_address("platform.store");
     for (const auto& pair : reader.text_list("platform.zones"))
@@ -42,12 +41,13 @@
             equals == std::string::npos ? "" : pair.substr(equals + 1);
     }
     result.revocation_limit =
-        reader.duration_ms("keys.revocation_limit_ms", result.revocation_limit,
-                           milliseconds(100), hours(24));
+        reader.duration("keys.revocation_limit", result.revocation_limit,
+                        milliseconds(100), hours(24));
     result.retry_ratio =
         reader.number("retries.ratio", result.retry_ratio, 0, 10);
-    result.retry_window = reader.duration_ms(
-        "retries.window_ms", result.retry_window, milliseconds(100), hours(1));
+    result.retry_window =
+        reader.duration("retries.window", result.retry_window,
+                        milliseconds(100), hours(1), duration_rounding::up);
     result.retry_slack =
         reader.number("retries.slack", result.retry_slack, 0, 1e9);
     result.shares_stage_backlogs = reader.boolean(
@@ -56,9 +56,9 @@
         reader.boolean("balancing.weighs_prompts", result.weighs_prompts);
     result.quarantine.enabled =
         reader.boolean("quarantine.enabled", result.quarantine.enabled);
-    result.quarantine.quiet_time = reader.duration_ms(
-        "quarantine.quiet_time_ms", result.quarantine.quiet_time,
-        std::chrono::seconds(10), hours(24));
+    result.quarantine.quiet_time = reader.duration(
+        "quarantine.quiet_time", result.quarantine.quiet_time,
+        std::chrono::seconds(10), hours(24), duration_rounding::up);
     return result;
 }
 
