Connections: no use of a moved pointer in the linter's eyes

clang-tidy reports bugprone-use-after-move in backend_pool::release: the key is read in the expression that moves the server on. C++17 evaluates the key first, so nothing was wrong at run time; the entry is now looked up in a statement of its own.

--- a/src/connection/backend_pool.cpp
+++ b/src/connection/backend_pool.cpp
@@ -93,9 +93,9 @@
     if (idle > milliseconds(0))
     {
         connection->begin_idle();
-        const auto until = boot_clock::now() + idle;
-        idle_[server->id].push_back(
-            {std::move(server), std::move(connection), until});
+        auto& connections = idle_[server->id];
+        connections.push_back({std::move(server), std::move(connection),
+                               boot_clock::now() + idle});
     }
 }
 
