--- a/src/connection/stage_caller.cpp
+++ b/src/connection/stage_caller.cpp
@@ -53,7 +53,7 @@
 void stage_caller::enqueue(const std::string& server,
                            const std::shared_ptr<const stage_task>& task)
 {
-    server_entry* entry = find_or_add_entry(server);
+    server_entry* entry = find_or_add_entry(state_.directory().find(server));
     if (entry == nullptr)
     {
         std::vector<waiting_item> items;
@@ -81,7 +81,7 @@
 void stage_caller::enqueue_release(const std::string& server,
                                    const std::vector<std::string>& handles)
 {
-    server_entry* entry = find_or_add_entry(server);
+    server_entry* entry = find_or_add_entry(state_.directory().find(server));
     if (entry == nullptr)
     {
         return; // the results were lost with their server
@@ -150,28 +150,31 @@
 }
 
 stage_caller::server_entry*
-stage_caller::find_or_add_entry(const std::string& server)
+stage_caller::find_or_add_entry(const server_pointer& server)
 {
+    if (!server)
+    {
+        return nullptr;
+    }
     // The router chooses by the directory: an entry that lags behind it would
     // return the items, which the router would send here again.
-    const auto known_server = state_.directory().find(server);
-    const auto found = entries_.find(server);
-    if (found != entries_.end() && known_server)
+    const auto found = entries_.find(server->id);
+    if (found != entries_.end())
     {
-        found->second->update_server(known_server);
+        found->second->update_server(server);
         return found->second.get();
     }
-    const auto* pool_parameters =
-        known_server ? state_.find_stage_pool(known_server->service) : nullptr;
+    const auto* pool_parameters = state_.find_stage_pool(server->service);
     if (pool_parameters == nullptr)
     {
         return nullptr;
     }
-    auto& entry = *entries_
-                       .emplace(server, std::make_unique<server_entry>(
-                                            known_server, *pool_parameters))
-                       .first->second;
-    const auto report = router_.load_report_of(server, boot_clock::now());
+    auto& entry =
+        *entries_
+             .emplace(server->id,
+                      std::make_unique<server_entry>(server, *pool_parameters))
+             .first->second;
+    const auto report = router_.load_report_of(server->id, boot_clock::now());
     if (report && shares_backlogs())
     {
         // Another process made the calls so far; its results remain.
@@ -188,7 +191,7 @@
     for (const auto& member :
          state_.directory().groups().members(*entry.server))
     {
-        if (auto* other = find_or_add_entry(member->id))
+        if (auto* other = find_or_add_entry(member))
         {
             other->queue.join_backlog(backlog);
         }
--- a/src/connection/stage_caller.hpp
+++ b/src/connection/stage_caller.hpp
@@ -104,7 +104,9 @@
     };
     using server_pointer = std::shared_ptr<const backend_server>;
 
-    server_entry* find_or_add_entry(const std::string& server);
+    /// Returns the entry of a server as the directory has it now; null if the
+    /// server is null or of no pool.
+    server_entry* find_or_add_entry(const server_pointer& server);
 
     /// Returns whether the servers of a group share their waiting items.
     bool shares_backlogs() const;
